Take new machines straight into the part that waits; ring workers that report seldom

Ruled out: the processor (--no-cpu gives the same). Now the record names the waiting part at once, moves share a transaction, and workers are rung by a command without orders. Machines are rented at once where nothing came free of late. Conclusion: starts come earlier; the waits are now those of fetching and of large gangs.

--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -40,14 +40,15 @@
       return std::tie(a.type, a.zone, a.spot) < std::tie(b.type, b.zone, b.spot);
     }
   };
-  void adopt(const std::string& name, const MachineRecord& rec);
+  void adopt(const std::string& name, const MachineRecord& rec, std::uint64_t tenure = 0);
   void write_adoptions(Effects& out);
+  void write_moves(Effects& out);
   void serve_demand(Clock clock, Effects& out);
   std::vector<JobIndex> demand_order(Clock clock, std::set<JobIndex>& guaranteed) const;
   std::vector<Bin> part_bins(PartIndex part) const;
   /// Machines of other parts that may be drained for this job.
   std::vector<Bin> victims(const Job& j, bool guaranteed) const;
-  void move_machine(MachineIndex m, PartIndex to, bool ask_owner, Effects& out);
+  void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
   void rent_for(const JobSpec& spec, std::uint32_t tasks, PartIndex part, Clock clock,
                 std::vector<Bin>& bins);
   void return_machines(Clock clock, Effects& out);
@@ -56,9 +57,16 @@
 
   Model& model_;
   Scheduler& scheduler_;
-  std::map<std::string, MachineRecord> adopt_;
+  struct Adoption {
+    MachineRecord rec;
+    std::uint64_t tenure = 0;  // of the worker that showed itself; 0: not heard
+  };
+  std::map<std::string, Adoption> adopt_;
+  std::vector<std::pair<MachineIndex, MachineRecord>> moves_;  // of this pass
   std::map<std::string, Rent> rents_;
   std::vector<RentOrder> asking_;  // this pass's requests, one per kind
+  /// Machines' worth of room that tasks have left lately, a second.
+  double freed_rate_ = 0, freed_seen_ = 0;
   struct Refusal {
     Seconds until = 0;
     int in_a_row = 0;
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -87,6 +87,8 @@
   Seconds known_since = 0;     // record first seen
   Seconds part_since = 0;      // in its present part since, as far as this node saw
   Seconds last_answered = -1;  // last report that we answered with 200
+  Seconds rung_at = -1e9;      // when it was last asked to report at once
+  Stamp placed_at = 0;         // latest placement here that our claim and the machine's record guarded
   Seconds first_report = -1;
   Seconds idle_since = 0;
   Seconds blocked_until = 0;
@@ -146,7 +148,13 @@
   void reserve(MachineIndex m, const JobSpec& spec, int sign);
   /// The lowest tasks that are neither done nor placed, up to `most`.
   std::vector<TaskNo> pending_tasks(Job& j, std::size_t most) const;
+  /// How much of a machine one task takes up, on the allowed type that holds most of them.
+  double share_of_machine(const JobSpec& spec) const;
+  /// Machines' worth of room that ended tasks have left since this controller started.
+  double freed() const { return freed_; }
   bool catalog_known() const { return !catalog.empty(); }
+  /// Lowest token that only the present owner can have given a machine.
+  Stamp least_token(const Machine& m) const;
   Stamp token(const Machine& m) const;
 
   /// The only place where a placement's state changes.
@@ -181,6 +189,7 @@
   std::vector<Claim> claims_;
   std::vector<Amounts> team_use_;
   std::map<std::string, ClaimRecord> nodes_;
+  double freed_ = 0;
 };
 
 }  // namespace oxbowmill
--- a/include/oxbowmill/core/records.h
+++ b/include/oxbowmill/core/records.h
@@ -38,6 +38,7 @@
   bool spot = false;
   MachineMark mark = MachineMark::none;
   PartIndex wanted_by;  // the leader asks the owner to drain it and hand it to this part
+  bool up = false;      // had reported when it was taken in: its next owner need not wait for a boot
 };
 
 struct ClaimRecord {
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -55,6 +55,12 @@
   double wall = 0;  // time of day
 };
 
+/// A worker that is to report at once, by a command without orders whose token it has not seen.
+struct Ring {
+  MachineIndex machine;
+  std::uint64_t tenure = 0;
+};
+
 class Scheduler {
  public:
   Scheduler(Model& model, Hold& hold) : model_(model), hold_(hold) {}
@@ -72,7 +78,9 @@
   /// A machine without a record showed itself; the leader takes it in.
   std::function<void(const WorkerReport&)> on_unrecorded;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
-  void queue(Effects& out, Urgency urgency, Transaction txn, const std::vector<MachineIndex>& machines);
+  /// Once it is durable, the workers to ring hear of their new owner without waiting for their next report.
+  void queue(Effects& out, Urgency urgency, Transaction txn, const std::vector<MachineIndex>& machines,
+             std::vector<Ring> rings = {});
 
  private:
   struct Released {
@@ -87,6 +95,7 @@
     std::vector<MachineIndex> machines;
     std::vector<PlacedTask> planned;  // room and quota are taken while the outcome is open
     std::vector<Released> released;   // ended tasks that the worker may forget once this is durable
+    std::vector<Ring> rings;
     JobSpec spec;
     Stamp refused_at = 0;
     Seconds resend_at = 0;
@@ -94,6 +103,7 @@
   void queue_job(Effects& out, Urgency urgency, Transaction txn, JobIndex job,
                  std::vector<PlacedTask> planned, std::vector<Released> released);
   void direct_clears(const Pending& p, Effects& out);
+  void ring(const Pending& p, Stamp revision, Seconds now, Effects& out);
   /// A machine that changes its owner reports to the new one within this time.
   double arrival_s() const { return 2 * model_.settings.report_s + Settings::report_timeout_s; }
   void settle(std::map<std::uint64_t, Pending>::iterator it, Seconds now, double back_off);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -3,12 +3,15 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace oxbowmill {
 
 namespace {
 constexpr std::uint32_t most_per_request = 50;  // the cloud's limit
+constexpr double demand_interval_s = 0.25;
+constexpr double freed_memory_s = 30;  // how far back room that came free speaks for what will
 }
 
 Fleet::Fleet(Model& model, Scheduler& scheduler) : model_(model), scheduler_(scheduler) {
@@ -18,15 +21,21 @@
     rec.type = model_.names.types.find(r.type);
     rec.zone = model_.names.zones.find(r.zone);
     rec.spot = r.spot;
-    if (rec.type.valid() && rec.zone.valid()) adopt(r.machine, rec);
+    rec.up = true;
+    if (!rec.type.valid() || !rec.zone.valid()) return;
+    model_.machine(model_.intern_machine(r.machine)).address = r.address;
+    adopt(r.machine, rec, r.tenure);
   };
 }
 
-void Fleet::adopt(const std::string& name, const MachineRecord& rec) {
+void Fleet::adopt(const std::string& name, const MachineRecord& rec, std::uint64_t tenure) {
   MachineIndex m = model_.intern_machine(name);
   // A machine whose deletion was confirmed is gone, whatever a late list or report says.
   if (deleted_.count(m) != 0 || model_.machine(m).stamp != 0) return;
-  adopt_.emplace(name, rec);
+  Adoption& a = adopt_.try_emplace(name, Adoption{rec, 0}).first->second;
+  if (tenure == 0) return;
+  a.rec.up = true;
+  a.tenure = tenure;
 }
 
 void Fleet::on_rented(const std::string& request, bool answered, const std::vector<std::string>& machines,
@@ -105,24 +114,31 @@
 }
 
 void Fleet::write_adoptions(Effects& out) {
-  Transaction txn;
-  for (auto it = adopt_.begin(); it != adopt_.end();) {
-    MachineIndex m = model_.intern_machine(it->first);
-    if (model_.machine(m).stamp != 0 || deleted_.count(m) != 0) {
-      it = adopt_.erase(it);
-      continue;
-    }
-    if (!model_.machine(m).writing && txn.changes.size() < model_.settings.txn_ops) {
-      txn.guards.push_back({MachineKey{m}, 0});
-      txn.changes.push_back({MachineKey{m}, it->second});
+  // Machines that have reported can work at once; records of those that still boot are not urgent.
+  for (bool up : {true, false}) {
+    Transaction txn;
+    std::vector<MachineIndex> machines;
+    std::vector<Ring> rings;
+    for (auto it = adopt_.begin(); it != adopt_.end();) {
+      MachineIndex m = model_.intern_machine(it->first);
+      if (model_.machine(m).stamp != 0 || deleted_.count(m) != 0) {
+        it = adopt_.erase(it);
+        continue;
+      }
+      const Adoption& a = it->second;
+      if (a.rec.up == up && !model_.machine(m).writing && machines.size() < model_.settings.txn_ops) {
+        txn.guards.push_back({MachineKey{m}, 0});
+        txn.changes.push_back({MachineKey{m}, a.rec});
+        machines.push_back(m);
+        if (a.tenure != 0) rings.push_back({m, a.tenure});
+      }
+      ++it;
     }
-    ++it;
+    if (machines.empty()) continue;
+    txn.guards.push_back(scheduler_.claim_guard(pool_part));
+    scheduler_.queue(out, up ? Urgency::placement : Urgency::rest, std::move(txn), machines,
+                     std::move(rings));
   }
-  if (txn.changes.empty()) return;
-  txn.guards.push_back(scheduler_.claim_guard(pool_part));
-  std::vector<MachineIndex> machines;
-  for (const Change& c : txn.changes) machines.push_back(std::get<MachineKey>(c.key).machine);
-  scheduler_.queue(out, Urgency::placement, std::move(txn), machines);
 }
 
 bool Fleet::closed(const Kind& k, Seconds now) const {
@@ -140,9 +156,8 @@
     rents_.clear();
     return;
   }
-  write_adoptions(out);
   if (clock.now < next_) return;
-  next_ = clock.now + 0.25;
+  next_ = clock.now + demand_interval_s;
   for (auto& [name, rent] : rents_) {
     if (rent.state == RentState::in_doubt && clock.now >= rent.retry_at) {
       rent.state = RentState::asked;
@@ -155,7 +170,10 @@
     listing_since_ = clock.now;
     out.list_machines = true;
   }
+  // First who needs a machine, then the records: a new machine goes straight to the part that waits for it.
   serve_demand(clock, out);
+  write_adoptions(out);
+  write_moves(out);
   return_machines(clock, out);
 }
 
@@ -208,8 +226,9 @@
       add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room);
     }
   }
-  for (const auto& [name, rec] : adopt_) {
-    if (rec.part == part) add({}, rec.type, rec.zone, rec.spot, false, model_.catalog[rec.type.v].room);
+  for (const auto& [name, a] : adopt_) {
+    const MachineRecord& rec = a.rec;
+    if (rec.part == part) add({}, rec.type, rec.zone, rec.spot, rec.up, model_.catalog[rec.type.v].room);
   }
   for (const auto& [name, r] : rents_) {
     auto count = std::count(r.order.parts.begin(), r.order.parts.end(), part);
@@ -251,20 +270,41 @@
   return bins;
 }
 
-void Fleet::move_machine(MachineIndex mi, PartIndex to, bool ask_owner, Effects& out) {
+void Fleet::move_machine(MachineIndex mi, PartIndex to, bool ask_owner) {
+  if (model_.machine(mi).stamp == 0) {
+    adopt_.at(model_.names.machines.name(mi)).rec.part = to;
+    return;
+  }
   MachineRecord rec = model_.machine(mi).rec;
-  if (ask_owner) {
-    rec.wanted_by = to;
-  } else {
-    rec.part = to;
+  (ask_owner ? rec.wanted_by : rec.part) = to;
+  moves_.emplace_back(mi, rec);
+}
+
+void Fleet::write_moves(Effects& out) {
+  for (std::size_t from = 0; from < moves_.size(); from += model_.settings.txn_ops) {
+    Transaction txn;
+    txn.guards = {scheduler_.claim_guard(pool_part)};
+    std::vector<MachineIndex> machines;
+    std::vector<Ring> rings;
+    for (std::size_t i = from; i < std::min(moves_.size(), from + model_.settings.txn_ops); ++i) {
+      auto& [mi, rec] = moves_[i];
+      const Machine& m = model_.machine(mi);
+      txn.guards.push_back({MachineKey{mi}, m.stamp});
+      txn.changes.push_back({MachineKey{mi}, rec});
+      machines.push_back(mi);
+      if (rec.part != m.rec.part && m.tenure != 0) rings.push_back({mi, m.tenure});
+    }
+    scheduler_.queue(out, Urgency::placement, std::move(txn), machines, std::move(rings));
   }
-  Transaction txn;
-  txn.guards = {scheduler_.claim_guard(pool_part), {MachineKey{mi}, model_.machine(mi).stamp}};
-  txn.changes = {{MachineKey{mi}, rec}};
-  scheduler_.queue(out, Urgency::placement, std::move(txn), {mi});
+  moves_.clear();
 }
 
 void Fleet::serve_demand(Clock clock, Effects& out) {
+  double keep = std::exp(-demand_interval_s / freed_memory_s);
+  freed_rate_ = keep * freed_rate_ + (1 - keep) * (model_.freed() - freed_seen_) / demand_interval_s;
+  freed_seen_ = model_.freed();
+  // What tasks will leave within the patience, at the pace of late: nobody rents for that.
+  double leaves = freed_rate_ * model_.settings.op.rent_patience_s;
   // Pool machines that can be handed over at once.
   std::vector<Bin> pool;
   for (MachineIndex mi : model_.machines_of(pool_part)) {
@@ -276,6 +316,13 @@
     }
     pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, false, true, model_.room(m), 1});
   }
+  for (const auto& [name, a] : adopt_) {
+    MachineIndex mi = model_.names.machines.find(name);
+    if (a.rec.part != pool_part || !a.rec.up || model_.machine(mi).writing || model_.machine(mi).stamp != 0)
+      continue;
+    pool.push_back({mi, a.rec.type, a.rec.zone, a.rec.spot, false, true,
+                    model_.catalog[a.rec.type.v].room, 1});
+  }
   std::vector<std::vector<Bin>> own(model_.parts());
   std::vector<Amounts> left(model_.parts());
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
@@ -322,7 +369,7 @@
         if (used.count(i) != 0) {
           all[i].cost = 0;
           bins.push_back(all[i]);
-          move_machine(all[i].machine, part, i >= from_victims, out);
+          move_machine(all[i].machine, part, i >= from_victims);
         } else if (i < from_victims) {
           rest.push_back(all[i]);
         }
@@ -341,9 +388,10 @@
     if (!tasks.empty()) take(bins);
     if (!tasks.empty()) take_with({});
     // Room that others leave soon is cheaper than a machine that has yet to boot.
+    if (tasks.empty()) continue;
+    leaves -= static_cast<double>(tasks.size()) * model_.share_of_machine(j.spec);
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
-    if (!tasks.empty() && patient)
-      rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
+    if (patient || leaves < 0) rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
   }
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -70,10 +70,24 @@
   if (m.reservations == 0) m.reserved = {};
 }
 
-Stamp Model::token(const Machine& m) const {
+double Model::share_of_machine(const JobSpec& spec) const {
+  int most = 1;
+  for (std::uint32_t t = 0; t < catalog.size(); ++t) {
+    bool allowed = spec.types.empty() ||
+                   std::find(spec.types.begin(), spec.types.end(), TypeIndex{t}) != spec.types.end();
+    if (allowed) most = std::max(most, how_many_fit(spec.need, catalog[t].room));
+  }
+  return 1.0 / most;
+}
+
+Stamp Model::least_token(const Machine& m) const {
   return std::max(claims_[m.rec.part.v].stamp, m.stamp);
 }
 
+Stamp Model::token(const Machine& m) const {
+  return std::max(least_token(m), m.placed_at);
+}
+
 Placement* Model::find_placement(TaskId id) {
   auto j = jobs_.find(id.job.v);
   if (j == jobs_.end()) return nullptr;
@@ -172,6 +186,7 @@
                             [&](const TaskId& id) { return id.job == index && id.task == task; }),
              m.on.end());
   m.used -= j.spec.need;
+  freed_ += share_of_machine(j.spec);
   if (m.on.empty()) {
     m.used = {};  // sums of decimals must not drift
     m.idle_since = now;
@@ -317,6 +332,7 @@
   bool moved = m.stamp == 0 || m.rec.part != rec->part;
   if (m.stamp == 0) {
     m.known_since = now;
+    m.up = m.up || rec->up;
   } else if (moved) {
     m.up = true;
   }
@@ -341,6 +357,7 @@
     m.last_answered = -1;
     m.first_report = -1;
     m.tenure = m.serial = 0;  // reports held back from an earlier term must not pass for news
+    m.placed_at = 0;          // an owner in between may have moved it: the claim's stamp is higher
     m.part_since = m.idle_since = now;
     if (m.state != MachineState::deleting) {
       set_state(i, m.on.empty() ? MachineState::expected : MachineState::unaccounted, now);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 const std::vector<PlacedTask> nothing_planned;
+constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
 /// Placement records that one transaction changes, with the job's record and its final phase beside them.
 std::size_t most_chunks(const Settings& s) {
@@ -33,10 +34,10 @@
 }
 
 void Scheduler::queue(Effects& out, Urgency urgency, Transaction txn,
-                      const std::vector<MachineIndex>& machines) {
+                      const std::vector<MachineIndex>& machines, std::vector<Ring> rings) {
   for (MachineIndex m : machines) model_.machine(m).writing = true;
   std::uint64_t id = ++next_write_;
-  pending_[id] = {txn, urgency, JobIndex{}, machines, {}, {}, {}, 0, 0};
+  pending_[id] = {txn, urgency, JobIndex{}, machines, {}, {}, std::move(rings), {}, 0, 0};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
 
@@ -46,7 +47,7 @@
   j.writing = true;
   for (const PlacedTask& t : planned) model_.reserve(t.machine, j.spec, 1);
   std::uint64_t id = ++next_write_;
-  pending_[id] = {txn, urgency, job, {}, std::move(planned), std::move(released), j.spec, 0, 0};
+  pending_[id] = {txn, urgency, job, {}, std::move(planned), std::move(released), {}, j.spec, 0, 0};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
 
@@ -57,6 +58,7 @@
   switch (outcome) {
     case Outcome::applied:
       direct_clears(p, later_);
+      ring(p, revision, now, later_);
       settle(it, now, 0);
       break;
     case Outcome::not_executed:
@@ -146,7 +148,7 @@
   a.kind = ReportAnswer::Kind::ok;
   m.last_answered = clock.now;
   if (authority == Authority::grace) return a;
-  bool token_shown = r.token == a.token;
+  bool token_shown = r.token >= model_.least_token(m);
   m.tenure = r.tenure;
   m.serial = r.serial;
   m.address = r.address;
@@ -679,6 +681,27 @@
   }
 }
 
+void Scheduler::ring(const Pending& p, Stamp revision, Seconds now, Effects& out) {
+  for (const Ring& r : p.rings) {
+    if (!model_.machine(r.machine).address.empty()) out.direct.push_back({r.machine, r.tenure, revision, {}});
+  }
+  const Settings& s = model_.settings;
+  std::set<MachineIndex> machines;
+  for (const PlacedTask& t : p.planned) machines.insert(t.machine);
+  for (MachineIndex mi : machines) {
+    Machine& m = model_.machine(mi);
+    if (m.state != MachineState::ready || !owns(m.rec.part) || m.address.empty()) continue;
+    // A worker counts a higher token as news once in half a lease; where it reports soon anyway, it need not.
+    Seconds next_report = m.last_answered + s.report_s - now;
+    if (next_report < ring_saves_s || now - m.rung_at < s.lease_s / 2) continue;
+    // The transaction was guarded by our claim and the machine's record, so every later authority over the
+    // machine has a higher token than this revision.
+    m.placed_at = std::max(m.placed_at, revision);
+    m.rung_at = now;
+    out.direct.push_back({mi, m.tenure, model_.token(m), {}});
+  }
+}
+
 void Scheduler::pass(Clock clock, Effects& out) {
   if (hold_.authority(clock.now) != Authority::full || !model_.catalog_known()) return;
   notice_takeovers(clock.now);
--- a/src/state/keys.cpp
+++ b/src/state/keys.cpp
@@ -85,6 +85,7 @@
                 {"zone", m.names.zones.name(r.zone)},
                 {"spot", r.spot},
                 {"del", r.mark == MachineMark::deleting}};
+      if (r.up) j["up"] = true;
       if (r.wanted_by.valid()) j["for"] = m.names.parts.name(r.wanted_by);
       return j;
     }
@@ -164,6 +165,7 @@
       rec.zone = model.names.zones.find(text(*value, "zone"));
       rec.wanted_by = model.names.parts.find(text(*value, "for"));
       rec.spot = value->value("spot", false);
+      rec.up = value->value("up", false);
       rec.mark = value->value("del", false) ? MachineMark::deleting : MachineMark::none;
       if (!rec.part.valid() || !rec.zone.valid()) return std::nullopt;
       c.value = rec;
