Gangs gather on machines that are there while the rest is sure to come

Ruled out: the processor and the state service's room after the first 20 s. Change: room is compared by when a task could run there (wait and fetch); a gang's members are placed where there is room once the rest of its machines is coming, and let go if it is not.

--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -45,7 +45,7 @@
   void write_moves(Effects& out);
   void serve_demand(Clock clock, Effects& out);
   std::vector<JobIndex> demand_order(Clock clock, std::set<JobIndex>& guaranteed) const;
-  std::vector<Bin> part_bins(PartIndex part) const;
+  std::vector<Bin> part_bins(PartIndex part, Seconds now) const;
   /// Machines of other parts that may be drained for this job.
   std::vector<Bin> victims(const Job& j, bool guaranteed) const;
   void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -61,6 +61,7 @@
   Seconds write_after = 0;  // back-off after a refused or unanswered transaction
   Seconds place_after = 0;  // back-off after errors
   std::uint32_t errors = 0;
+  Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
   Seconds first_seen = 0;
   std::vector<double> finished_times;  // the detector's: in order of finishing
   double baseline = -1;
@@ -98,7 +99,6 @@
   bool failed_listed = false;
   bool up = false;  // has run something or been moved: known to have booted, also where it reports elsewhere
   bool writing = false;
-  bool urgent_kills = false;
   std::uint32_t errors = 0;
   std::string address;
   Amounts used;
--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -5,22 +5,29 @@
 
 namespace oxbowmill {
 
+struct Choice {
+  TaskNo task = 0;
+  std::size_t bin = 0;
+};
+
 /// Room on a machine, real or expected, while a pass fills it.
 struct Bin {
   MachineIndex machine;
   TypeIndex type;
   ZoneIndex zone;
   bool spot = false;
-  bool has_image = false;
-  bool usable_now = true;
+  Seconds wait_s = 0;  // until the room is there
   Amounts room;
-  int cost = 0;  // what taking it costs beyond the room: 0 own, 1 idle elsewhere, 2 others' work stops
+  int cost = 0;         // what taking it costs beyond the room: 0 own, 1 idle elsewhere, 2 others' work stops
+  Seconds start_s = 0;  // until a task of the job in question could run: the wait and its image's fetch
 };
 
-struct Choice {
-  TaskNo task = 0;
-  std::size_t bin = 0;
-};
+/// How long a machine of this type takes to fetch the job's image.
+Seconds fetch_time(const JobSpec& spec, const MachineType& type);
+/// Fills in `start_s` for this job.
+void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins);
+/// When the last of the chosen tasks could run.
+Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins);
 
 /// Type, zone and kind, as the job allows them.
 bool allowed_on(const JobSpec& spec, TypeIndex type, ZoneIndex zone, bool spot);
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -116,9 +116,23 @@
   void stop(Placement& p, double wind_down_s, Seconds now);
   void check_gang(Job& j, Seconds now);
   void watch_machines(PartIndex part, Clock clock, Effects& out);
-  void preempt(PartIndex part, Clock clock, const std::map<JobIndex, std::vector<PlacedTask>>& planned);
+  /// A part's room while a pass fills it.
+  struct Rooms {
+    std::vector<Bin> bins;         // from `real` on: machines that will come
+    std::vector<Amounts> leaving;  // beside a bin's room: what tasks that are going still hold
+    std::size_t real = 0;
+  };
+  Rooms rooms_of(PartIndex part, Seconds now) const;
+  /// The rooms as they are for this job, with what is being left and, if asked, what lower ranks would leave.
+  std::vector<Bin> foresee(const Job& j, const Rooms& rooms, bool preempting) const;
+  bool may_make_room(const Job& victim, const Job& j) const;
+  void make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins, Seconds now);
   void find_slow(PartIndex part, Seconds now);
-  void place(PartIndex part, Clock clock, std::map<JobIndex, std::vector<PlacedTask>>& planned);
+  void place(PartIndex part, Clock clock, bool thorough,
+             std::map<JobIndex, std::vector<PlacedTask>>& planned);
+  void let_go_if_stranded(Job& j, Seconds now);
+  void plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+            std::map<JobIndex, std::vector<PlacedTask>>& planned);
   void write_job(JobIndex ji, const std::vector<PlacedTask>& planned, Seconds now, Effects& out);
   void direct_kills(Effects& out);
   std::vector<Bin> bins_of(PartIndex part, Seconds now) const;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 constexpr std::uint32_t most_per_request = 50;  // the cloud's limit
+constexpr double drain_s = 4;  // until a machine whose work of lower rank is stopped has been handed over
 constexpr double demand_interval_s = 0.25;
 constexpr double freed_memory_s = 30;  // how far back room that came free speaks for what will
-}
+}  // namespace
 
 Fleet::Fleet(Model& model, Scheduler& scheduler) : model_(model), scheduler_(scheduler) {
   scheduler_.on_unrecorded = [this](const WorkerReport& r) {
@@ -212,10 +213,13 @@
   return order;
 }
 
-std::vector<Bin> Fleet::part_bins(PartIndex part) const {
+std::vector<Bin> Fleet::part_bins(PartIndex part, Seconds now) const {
   std::vector<Bin> bins;
-  auto add = [&](MachineIndex mi, TypeIndex type, ZoneIndex zone, bool spot, bool up, const Amounts& room) {
-    bins.push_back({mi, type, zone, spot, false, up, room, 0});
+  auto add = [&](MachineIndex mi, TypeIndex type, ZoneIndex zone, bool spot, bool up, const Amounts& room,
+                 Seconds age = 0) {
+    const MachineType& t = model_.catalog[type.v];
+    Seconds wait = up ? 0 : std::max(model_.settings.report_s, t.boot_s - age);
+    bins.push_back({mi, type, zone, spot, wait, room});
   };
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
@@ -223,7 +227,7 @@
       if (m.state == MachineState::deleting || m.failed_listed || m.recalled) continue;
       if (m.rec.wanted_by.valid() ? m.rec.wanted_by != part : PartIndex{p} != part) continue;
       Amounts room = m.rec.wanted_by.valid() ? model_.catalog[m.rec.type.v].room : model_.room(m);
-      add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room);
+      add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room, now - m.known_since);
     }
   }
   for (const auto& [name, a] : adopt_) {
@@ -263,8 +267,7 @@
               v->spec.shape == Shape::array && v->spec.save_every_s > 0;
       }
       if (!may) continue;
-      bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, Model::has_image(m, j.spec.image), true,
-                      model_.catalog[m.rec.type.v].room, 2});
+      bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, drain_s, model_.catalog[m.rec.type.v].room, 2});
     }
   }
   return bins;
@@ -314,19 +317,18 @@
         !m.on.empty()) {
       continue;
     }
-    pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, false, true, model_.room(m), 1});
+    pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m), 1});
   }
   for (const auto& [name, a] : adopt_) {
     MachineIndex mi = model_.names.machines.find(name);
     if (a.rec.part != pool_part || !a.rec.up || model_.machine(mi).writing || model_.machine(mi).stamp != 0)
       continue;
-    pool.push_back({mi, a.rec.type, a.rec.zone, a.rec.spot, false, true,
-                    model_.catalog[a.rec.type.v].room, 1});
+    pool.push_back({mi, a.rec.type, a.rec.zone, a.rec.spot, 0, model_.catalog[a.rec.type.v].room, 1});
   }
   std::vector<std::vector<Bin>> own(model_.parts());
   std::vector<Amounts> left(model_.parts());
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
-    own[p] = part_bins(PartIndex{p});
+    own[p] = part_bins(PartIndex{p}, clock.now);
     const Team& team = model_.settings.teams[p];
     const Amounts& use = model_.team_use(PartIndex{p});
     left[p] = {team.most.cpus > 0 ? team.most.cpus - use.cpus : 1e12,
@@ -345,9 +347,7 @@
     left[part.v] -= static_cast<double>(tasks.size()) * j.spec.need;
     auto by_zone = tasks_by_zone(model_, j);
     auto take = [&](std::vector<Bin>& from) {
-      for (Bin& b : from) {
-        b.has_image = b.machine.valid() && Model::has_image(model_.machine(b.machine), j.spec.image);
-      }
+      see_as(j.spec, model_, from);
       auto fit = choose(j.spec, tasks, from, by_zone);
       for (const Choice& c : fit) ++by_zone[from[c.bin].zone.v];
       tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(fit.size()));
@@ -380,7 +380,7 @@
     bool within = guaranteed.count(ji) != 0;
     if (j.spec.rank >= Rank::high || within) {
       std::vector<Bin> up, booting;
-      for (const Bin& b : bins) (b.usable_now ? up : booting).push_back(b);
+      for (const Bin& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
       bins = std::move(up);
       take_with(model_.settings.op.preempt ? victims(j, within) : std::vector<Bin>{});
       bins.insert(bins.end(), booting.begin(), booting.end());
@@ -452,7 +452,8 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     Amounts room = model_.catalog[order.type.v].room;
     for (int k = 0; k < o.per_machine && tasks > 0; ++k, --tasks) room -= spec.need;
-    bins.push_back({MachineIndex{}, order.type, order.zone, order.spot, false, false, room});
+    bins.push_back(
+        {MachineIndex{}, order.type, order.zone, order.spot, model_.catalog[order.type.v].boot_s, room});
   }
 }
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -28,9 +28,26 @@
   return n;
 }
 
+Seconds fetch_time(const JobSpec& spec, const MachineType& type) {
+  return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+}
+
+void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins) {
+  for (Bin& b : bins) {
+    bool there = b.machine.valid() && Model::has_image(model.machine(b.machine), spec.image);
+    b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, model.catalog[b.type.v]));
+  }
+}
+
+Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins) {
+  Seconds last = 0;
+  for (const Choice& c : choices) last = std::max(last, bins[c.bin].start_s);
+  return last;
+}
+
 namespace {
 
-/// Bins that can take a task, best first: image there, then least room, cheap kind first.
+/// Bins that can take a task, best first: soonest start, then cheap kind, then least room.
 std::vector<std::size_t> candidates(const JobSpec& spec, const std::vector<Bin>& bins, ZoneIndex only) {
   std::vector<std::size_t> out;
   for (std::size_t i = 0; i < bins.size(); ++i) {
@@ -40,8 +57,7 @@
   }
   std::stable_sort(out.begin(), out.end(), [&bins](std::size_t x, std::size_t y) {
     const Bin &a = bins[x], &b = bins[y];
-    if (a.usable_now != b.usable_now) return a.usable_now;
-    if (a.has_image != b.has_image) return a.has_image;
+    if (a.start_s != b.start_s) return a.start_s < b.start_s;
     if (a.cost != b.cost) return a.cost < b.cost;
     if (a.spot != b.spot) return a.spot;
     if (a.room.gpus != b.room.gpus) return a.room.gpus < b.room.gpus;
@@ -89,7 +105,8 @@
     }
     return best;
   }
-  // One zone for all: where some tasks are already, else the zone that takes most, images breaking ties.
+  // One zone for all: where some tasks are already, else the zone that takes most and where they start
+  // soonest.
   ZoneIndex fixed;
   for (std::uint32_t z = 0; z < by_zone.size(); ++z) {
     if (by_zone[z] == 0) continue;
@@ -97,17 +114,17 @@
     fixed = ZoneIndex{z};
   }
   ZoneIndex best_zone;
-  std::size_t best_count = 0, best_images = 0;
+  std::size_t best_count = 0;
+  Seconds best_start = 0;
   for (std::uint32_t z = 0; z < by_zone.size(); ++z) {
     if (fixed.valid() && fixed.v != z) continue;
     auto tried = fill(spec, tasks, bins, by_zone, ZoneIndex{z});
     undo(spec, tried, bins, by_zone);
-    std::size_t images = 0;
-    for (const Choice& c : tried) images += bins[c.bin].has_image && bins[c.bin].usable_now ? 1 : 0;
-    if (tried.size() > best_count || (tried.size() == best_count && images > best_images)) {
+    Seconds start = last_start(tried, bins);
+    if (tried.size() > best_count || (tried.size() == best_count && start < best_start)) {
       best_zone = ZoneIndex{z};
       best_count = tried.size();
-      best_images = images;
+      best_start = start;
     }
   }
   if (best_count == 0 || (spec.shape == Shape::gang && best_count < tasks.size())) return best;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -11,7 +11,15 @@
 
 namespace {
 const std::vector<PlacedTask> nothing_planned;
-constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
+constexpr double leave_s = 1.5;        // from the stop of a task that has saved to a start in its room
+constexpr double hand_over_s = 4;      // until a machine that another part drains for us reports here
+constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
+constexpr double ring_saves_s = 1;     // a worker is asked to report at once when that saves so much
+
+bool is_leaving(const Placement& p) {
+  return p.state == PlacementState::stopping || p.state == PlacementState::gone ||
+         p.state == PlacementState::finished;
+}
 
 /// Placement records that one transaction changes, with the job's record and its final phase beside them.
 std::size_t most_chunks(const Settings& s) {
@@ -413,6 +421,7 @@
     auto bins = bins_of(part, now);
     for (TaskId id : tasks) {
       Job& j = model_.job(id.job);
+      see_as(j.spec, model_, bins);
       // Without free room elsewhere the task is left running.
       if (choose(j.spec, {id.task}, bins, tasks_by_zone(model_, j)).empty()) continue;
       model_.find_placement(id)->want_restart = true;  // made durable first, then stopped
@@ -433,7 +442,7 @@
     bool speaking =
         m.state == MachineState::ready && now - m.last_answered < 2.5 * model_.settings.report_s + 1;
     if (!arriving && !speaking) continue;
-    bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, false, true, model_.room(m)});
+    bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
   }
   return bins;
 }
@@ -474,10 +483,119 @@
   return out;
 }
 
-void Scheduler::place(PartIndex part, Clock clock, std::map<JobIndex, std::vector<PlacedTask>>& planned) {
+Scheduler::Rooms Scheduler::rooms_of(PartIndex part, Seconds now) const {
+  const Settings& s = model_.settings;
+  Rooms rooms;
+  rooms.bins = bins_of(part, now);
+  rooms.real = rooms.bins.size();
+  for (const Bin& b : rooms.bins) {
+    Amounts leaving;
+    for (TaskId id : model_.machine(b.machine).on) {
+      if (is_leaving(*model_.find_placement(id))) leaving += model_.job(id.job).spec.need;
+    }
+    rooms.leaving.push_back(leaving);
+  }
+  auto add = [&](MachineIndex mi, const Machine& m, Seconds wait) {
+    rooms.bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, wait, Amounts{}});
+    rooms.leaving.push_back(model_.catalog[m.rec.type.v].room);
+  };
+  for (MachineIndex mi : model_.machines_of(part)) {
+    const Machine& m = model_.machine(mi);
+    Seconds boot = model_.catalog[m.rec.type.v].boot_s, age = now - m.known_since;
+    bool booting = m.state == MachineState::expected && !m.up && m.on.empty() && age < 2 * boot;
+    if (booting && !m.rec.wanted_by.valid()) add(mi, m, std::max(s.report_s, boot - age));
+  }
+  for (std::uint32_t p = 1; p < model_.parts(); ++p) {
+    if (PartIndex{p} == part) continue;
+    for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
+      const Machine& m = model_.machine(mi);
+      if (m.rec.wanted_by == part && m.rec.mark == MachineMark::none) add(mi, m, hand_over_s);
+    }
+  }
+  return rooms;
+}
+
+bool Scheduler::may_make_room(const Job& victim, const Job& j) const {
+  return model_.settings.op.preempt && victim.spec.rank < j.spec.rank && victim.spec.save_every_s > 0;
+}
+
+std::vector<Bin> Scheduler::foresee(const Job& j, const Rooms& rooms, bool preempting) const {
+  std::vector<Bin> bins = rooms.bins;
+  for (std::size_t i = 0; i < bins.size(); ++i) {
+    Bin& b = bins[i];
+    if (fits(j.spec.need, b.room)) continue;
+    b.room += rooms.leaving[i];
+    if (i >= rooms.real) continue;
+    b.wait_s = leave_s;
+    if (fits(j.spec.need, b.room) || !preempting) continue;
+    for (TaskId id : model_.machine(b.machine).on) {
+      const Job& victim = model_.job(id.job);
+      if (!may_make_room(victim, j) || is_leaving(*model_.find_placement(id))) continue;
+      b.room += victim.spec.need;
+      b.wait_s = std::max(b.wait_s, leave_s + victim.spec.flush_s);
+      b.cost = 2;
+    }
+  }
+  see_as(j.spec, model_, bins);
+  return bins;
+}
+
+void Scheduler::make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+                          Seconds now) {
+  std::map<MachineIndex, Amounts> needed;
+  for (const Choice& c : choices) needed[bins[c.bin].machine] += j.spec.need;
+  for (auto& [mi, need] : needed) {
+    const Machine& m = model_.machine(mi);
+    if (m.rec.part != j.spec.part) continue;
+    Amounts free = model_.room(m);
+    for (TaskId id : m.on) {
+      if (is_leaving(*model_.find_placement(id))) free += model_.job(id.job).spec.need;
+    }
+    for (TaskId id : std::vector<TaskId>(m.on)) {
+      if (fits(need, free)) break;
+      Placement& p = *model_.find_placement(id);
+      Job& victim = model_.job(id.job);
+      if (!may_make_room(victim, j) || is_leaving(p)) continue;
+      free += victim.spec.need;
+      SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
+      stop(p, victim.spec.flush_s, now);
+      if (victim.spec.shape == Shape::gang) check_gang(victim, now);
+    }
+  }
+}
+
+void Scheduler::plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+                     std::map<JobIndex, std::vector<PlacedTask>>& planned) {
+  Job& j = model_.job(ji);
+  bool gang = j.spec.shape == Shape::gang;
+  PartIndex part = j.spec.part;
+  Attempt shared = !gang ? 0 : j.placed.empty() ? next_attempt(part) : j.placed.begin()->second.attempt;
+  // What exceeds one transaction follows in the next; the rest of a large gang as missing members.
+  std::set<MachineIndex> machines;
+  std::set<std::uint32_t> chunks;
+  for (const Choice& c : choices) {
+    machines.insert(bins[c.bin].machine);
+    chunks.insert(c.task / chunk_tasks);
+    if (machines.size() > most_machines(model_.settings) || chunks.size() > most_chunks(model_.settings))
+      break;
+    planned[ji].push_back({c.task, bins[c.bin].machine, gang ? shared : next_attempt(part), false});
+  }
+}
+
+void Scheduler::let_go_if_stranded(Job& j, Seconds now) {
+  // Two gangs that each hold half of what both need would hold it for ever.
+  if (j.stranded_since < 0) j.stranded_since = now;
+  if (now - j.stranded_since < model_.settings.gang_wait_s) return;
+  SPDLOG_INFO("job {}: its missing members have nowhere to go; the others let go", j.spec.ref);
+  j.stranded_since = -1;
+  for (auto& [t, p] : j.placed) stop(p, 0, now);
+}
+
+void Scheduler::place(PartIndex part, Clock clock, bool thorough,
+                      std::map<JobIndex, std::vector<PlacedTask>>& planned) {
   auto order = waiting_order(model_, part, clock);
   if (order.empty()) return;
-  auto bins = bins_of(part, clock.now);
+  Rooms rooms = rooms_of(part, clock.now);
   const Team& team = model_.settings.teams[part.v];
   auto quota = [](double most, double used) { return most > 0 ? most - used : 1e12; };
   Amounts use = model_.team_use(part);  // all that is possibly on a machine, with what is being written
@@ -488,74 +606,48 @@
     bool gang = j.spec.shape == Shape::gang;
     std::size_t most =
         std::min<std::size_t>(j.pending(), static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
-    if (gang && most < j.pending()) continue;
-    if (most == 0) continue;
-    for (Bin& b : bins) b.has_image = Model::has_image(model_.machine(b.machine), j.spec.image);
+    if (most == 0 || (gang && most < j.pending())) continue;
     auto tasks = model_.pending_tasks(j, most);
-    auto choices = choose(j.spec, tasks, bins, tasks_by_zone(model_, j));
-    if (choices.empty()) continue;
-    Attempt shared = !gang ? 0 : j.placed.empty() ? next_attempt(part) : j.placed.begin()->second.attempt;
-    // What exceeds one transaction follows in the next; the rest of a large gang as missing members.
-    std::set<MachineIndex> machines;
-    std::set<std::uint32_t> chunks;
-    for (const Choice& c : choices) {
-      machines.insert(bins[c.bin].machine);
-      chunks.insert(c.task / chunk_tasks);
-      if (machines.size() > most_machines(model_.settings) || chunks.size() > most_chunks(model_.settings))
-        break;
-      planned[ji].push_back({c.task, bins[c.bin].machine, gang ? shared : next_attempt(part), false});
+    auto by_zone = tasks_by_zone(model_, j);
+    bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
+    std::vector<Bin> bins = rooms.bins;
+    see_as(j.spec, model_, bins);
+    auto choices = choose(j.spec, tasks, bins, by_zone);
+    Seconds start = last_start(choices, bins);
+    // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
+    // fetch and wait on those that are there. Otherwise smaller jobs would take these one by one. And a
+    // machine that has the image may start it sooner than one that is free.
+    if (gang && (choices.empty() || start > worth_looking_s)) {
+      for (bool others : {false, true}) {
+        if (others && !preempting) continue;
+        std::vector<Bin> seen = foresee(j, rooms, others);
+        auto better = choose(j.spec, tasks, seen, by_zone);
+        if (better.empty() || (!choices.empty() && last_start(better, seen) + leave_s > start)) continue;
+        choices = std::move(better);
+        start = last_start(choices, seen);
+        bins = std::move(seen);
+      }
+    } else if (choices.size() < tasks.size() && preempting) {
+      std::vector<Bin> seen = foresee(j, rooms, false);
+      std::size_t soon = choose(j.spec, tasks, seen, by_zone).size();
+      seen = foresee(j, rooms, true);
+      auto more = choose(j.spec, tasks, seen, by_zone);
+      if (more.size() > soon) make_room(j, more, seen, clock.now);
     }
-    left -= static_cast<double>(choices.size()) * j.spec.need;
-  }
-}
-
-void Scheduler::preempt(PartIndex part, Clock clock,
-                        const std::map<JobIndex, std::vector<PlacedTask>>& planned) {
-  auto order = waiting_order(model_, part, clock);
-  for (JobIndex ji : order) {
-    Job& j = model_.job(ji);
-    if (j.spec.rank == Rank::low || planned.count(ji) != 0 || j.writing || clock.now < j.place_after)
+    if (choices.empty()) {
+      if (gang && !j.placed.empty()) let_go_if_stranded(j, clock.now);
       continue;
-    // Room as it would be without work of lower rank that can save; what is being stopped already counts as
-    // free.
-    std::vector<Bin> now_or_soon = bins_of(part, clock.now), could = now_or_soon;
-    for (std::size_t i = 0; i < could.size(); ++i) {
-      const Machine& m = model_.machine(could[i].machine);
-      bool image = Model::has_image(m, j.spec.image);
-      now_or_soon[i].has_image = could[i].has_image = image;
-      for (TaskId id : m.on) {
-        const Placement& p = *model_.find_placement(id);
-        const JobSpec& victim = model_.job(id.job).spec;
-        bool leaving = p.state == PlacementState::stopping || p.state == PlacementState::gone ||
-                       p.state == PlacementState::finished;
-        if (leaving) now_or_soon[i].room += victim.need;
-        if (leaving || (victim.rank < j.spec.rank && victim.save_every_s > 0)) could[i].room += victim.need;
-      }
     }
-    auto tasks = model_.pending_tasks(j, 64);
-    auto by_zone = tasks_by_zone(model_, j);
-    if (!choose(j.spec, tasks, now_or_soon, by_zone).empty()) continue;
-    auto chosen = choose(j.spec, tasks, could, by_zone);
-    std::map<std::size_t, Amounts> needed;
-    for (const Choice& c : chosen) needed[c.bin] += j.spec.need;
-    for (auto& [b, need] : needed) {
-      const Machine& m = model_.machine(could[b].machine);
-      Amounts free = model_.room(m);
-      for (TaskId id : std::vector<TaskId>(m.on)) {
-        if (fits(need, free)) break;
-        Placement& p = *model_.find_placement(id);
-        Job& victim = model_.job(id.job);
-        free += victim.spec.need;
-        if (victim.spec.rank >= j.spec.rank || victim.spec.save_every_s <= 0) {
-          if (p.state != PlacementState::stopping) free -= victim.spec.need;
-          continue;
-        }
-        SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
-        stop(p, victim.spec.flush_s, clock.now);
-        if (victim.spec.shape == Shape::gang) check_gang(victim, clock.now);
-      }
+    j.stranded_since = -1;
+    if (gang && preempting) make_room(j, choices, bins, clock.now);
+    left -= static_cast<double>(choices.size()) * j.spec.need;
+    std::vector<Choice> here;
+    for (const Choice& c : choices) {
+      bool there = c.bin < rooms.real && fits(j.spec.need, rooms.bins[c.bin].room);
+      if (there) here.push_back(c);
+      (there ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
     }
-    if (!chosen.empty()) return;  // one job at a time: the next sees what this one left
+    plan(ji, here, rooms.bins, planned);
   }
 }
 
@@ -717,8 +809,7 @@
     if (check_machines) watch_machines(part, clock, out);
     if (part == pool_part) continue;
     if (check_slow) find_slow(part, clock.now);
-    place(part, clock, planned);
-    if (check_machines && model_.settings.op.preempt) preempt(part, clock, planned);
+    place(part, clock, check_machines, planned);
   }
   auto dirty = std::move(model_.dirty);
   model_.dirty.clear();
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -11,7 +11,7 @@
 using standins::test_job;
 
 Bin bin(std::uint32_t zone, double gpus, bool image = false, bool spot = false) {
-  return {MachineIndex{}, TypeIndex{0}, ZoneIndex{zone}, spot, image, true, {32, gpus, 128}};
+  return {MachineIndex{}, TypeIndex{0}, ZoneIndex{zone}, spot, 0, {32, gpus, 128}, 0, image ? 0.0 : 10.0};
 }
 
 TEST(Placement, ChoosesWithinTheJobsLimits) {
@@ -133,6 +133,67 @@
   EXPECT_EQ(c.phase("run-1"), "done");
 }
 
+TEST(Gangs, MembersFetchWhereTheyCanWhileTheRestOfTheirMachinesComes) {
+  // Waiting for all machines at once, a gang lost each one to smaller jobs as it came up.
+  Cluster c;
+  c.add_machine("m1");
+  c.add_machine("m2");
+  c.silenced.insert("m2");  // boots
+  c.submit(gang("run-1", 2));
+  c.run(1);
+  std::string first = c.worker("m1").has("run-1/0") ? "run-1/0" : "run-1/1";
+  ASSERT_TRUE(c.worker("m1").has(first));
+  c.worker("m1").set_phase(first, TaskPhase::gathering);
+  c.submit(gang("run-2", 1));
+  c.run(2);
+  EXPECT_EQ(c.log.starts["run-2/0"], 0);
+  c.silenced.clear();
+  c.run(2);
+  std::string second = first == "run-1/0" ? "run-1/1" : "run-1/0";
+  ASSERT_TRUE(c.worker("m2").has(second));
+  EXPECT_EQ(c.worker("m1").attempt(first), c.worker("m2").attempt(second));
+  EXPECT_EQ(c.log.starts[first], 1);
+}
+
+TEST(Gangs, MembersWhoseRestNeverComesLetTheirMachinesGo) {
+  Cluster c;
+  c.add_machine("m1");
+  c.add_machine("m2");
+  c.silenced.insert("m2");  // never comes up
+  c.submit(gang("run-1", 2));
+  c.run(1);
+  std::string first = c.worker("m1").has("run-1/0") ? "run-1/0" : "run-1/1";
+  ASSERT_TRUE(c.worker("m1").has(first));
+  c.worker("m1").set_phase(first, TaskPhase::gathering);
+  c.submit(gang("run-2", 1));
+  c.run(2 * c.node(0).model.catalog[0].boot_s + c.node(0).model.settings.gang_wait_s + 5);
+  EXPECT_FALSE(c.worker("m1").has(first));
+  EXPECT_TRUE(c.worker("m1").has("run-2/0"));
+}
+
+TEST(Gangs, RoomGatheredForAGangIsNotFilledAgainByLowerRank) {
+  // Arrays once took each machine that a gang had emptied before the next was empty too.
+  Cluster c;
+  for (const char* m : {"m1", "m2", "m3"}) c.add_machine(m, "a", "blue");
+  JobSpec low = test_job("run-1", 40);
+  low.part = PartIndex{2};
+  low.rank = Rank::low;
+  c.submit(low);
+  c.run(3);
+  std::map<std::string, int> before = c.log.starts;
+  JobSpec high = gang("run-2", 3);
+  high.part = PartIndex{2};
+  high.rank = Rank::high;
+  c.submit(high);
+  c.run(6);
+  for (const char* t : {"run-2/0", "run-2/1", "run-2/2"}) EXPECT_EQ(c.log.starts[t], 1) << t;
+  int restarted = 0;
+  for (const auto& [task, n] : c.log.starts) {
+    if (task.compare(0, 6, "run-1/") == 0) restarted += n - before[task];
+  }
+  EXPECT_EQ(restarted, 0);
+}
+
 TEST(Gangs, LossOfOneStopsTheRestAndWaitsForAll) {
   Cluster c;
   c.add_machine("m1");
