Arrays that can be in time go first, giving up the fewest; read the socket limit where it stands

Change: Moore and Hodgson's rule over the last moments to start, with the pace at which running tasks leave; what misses the deadline is tried at the multiples of it that the users' aims name. Also: [settings.limits] was looked for at the top level, so fd_limit was never read; test.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -54,6 +54,7 @@
   std::unordered_map<std::uint32_t, Chunk> chunks;
   std::map<TaskNo, Placement> placed;
   std::vector<std::uint64_t> busy;  // bit per task: done or placed
+  double share = 1;                 // of a machine that one task takes up
   std::uint32_t done = 0;
   std::uint32_t scan_from = 0;  // no free bit in words before this one
   // Owner's working state.
@@ -148,8 +149,6 @@
   void reserve(MachineIndex m, const JobSpec& spec, int sign);
   /// The lowest tasks that are neither done nor placed, up to `most`.
   std::vector<TaskNo> pending_tasks(Job& j, std::size_t most) const;
-  /// How much of a machine one task takes up, on the allowed type that holds most of them.
-  double share_of_machine(const JobSpec& spec) const;
   /// Machines' worth of room that ended tasks have left since this controller started.
   double freed() const { return freed_; }
   bool catalog_known() const { return !catalog.empty(); }
@@ -179,6 +178,8 @@
   void add_placement(Job& j, const PlacedTask& p, JobIndex index, Seconds now);
   void remove_placement(Job& j, std::map<TaskNo, Placement>::iterator it, Seconds now);
   void drop_if_empty(JobIndex j);
+  /// How much of a machine one task takes up, on the allowed type that holds most of them.
+  double share_of_machine(const JobSpec& spec) const;
 
   std::unordered_map<std::string, JobIndex> job_names_;
   std::map<std::uint32_t, Job> jobs_;  // live jobs only: entries go once the job's record and chunks are gone
--- /dev/null
+++ b/include/oxbowmill/core/order.h
@@ -0,0 +1,28 @@
+// In which order waiting jobs get room.
+#pragma once
+
+#include "oxbowmill/core/model.h"
+
+namespace oxbowmill {
+
+struct Clock {
+  Seconds now = 0;  // steady
+  double wall = 0;  // time of day
+};
+
+/// A job that has to start by some time, for the choice below.
+struct Due {
+  double start_by = 0;  // seconds from now
+  double size = 0;      // machines' worth of room that it waits for
+};
+
+/// Which of these jobs to give up so that the fewest start late, when room comes free at `rate` machines a
+/// second: in order of their times, the largest is given up whenever the next
+/// would be late (Moore and Hodgson's rule). True: given up.
+std::vector<bool> give_up_late(const std::vector<Due>& jobs, double rate);
+
+/// Waiting jobs of a part: by rank; then those that can still be in time, by the last moment at which they
+/// must start; then the others, longest first; jobs without a deadline by age.
+std::vector<JobIndex> waiting_order(const Model& model, PartIndex part, Clock clock);
+
+}  // namespace oxbowmill
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -6,7 +6,7 @@
 
 #include "oxbowmill/core/claims.h"
 #include "oxbowmill/core/gangs.h"
-#include "oxbowmill/core/model.h"
+#include "oxbowmill/core/order.h"
 #include "oxbowmill/core/placement.h"
 
 namespace oxbowmill {
@@ -50,11 +50,6 @@
   std::vector<Order> orders;
 };
 
-struct Clock {
-  Seconds now = 0;  // steady
-  double wall = 0;  // time of day
-};
-
 /// A worker that is to report at once, by a command without orders whose token it has not seen.
 struct Ring {
   MachineIndex machine;
@@ -150,7 +145,4 @@
   Seconds next_machine_check_ = 0, next_slow_check_ = 0;
 };
 
-/// Jobs in the order in which they get room: rank, then the little slack to the deadline, then age.
-std::vector<JobIndex> waiting_order(const Model& model, PartIndex part, Clock clock);
-
 }  // namespace oxbowmill
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -52,7 +52,8 @@
   double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 8, cancel_s = 40;
   double state_rps = 100, state_write_rps = 20, value_kb = 4;
   std::size_t txn_ops = 12;
-  int socket_limit = 0;  // 0: none
+  int socket_limit = 0;                    // 0: none
+  std::vector<double> deadline_multiples;  // of a job's deadline, as the users' aims name them; ascending
   double cloud_rps = 2, list_lag_s = 4;
   OperatorSettings op;
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 
@@ -42,6 +43,7 @@
       fail(key, e.what());
     }
   }
+  bool has(const char* key) const { return t_->contains(key); }
   Table sub(const char* key) const {
     const toml::table* s = (*t_)[key].as_table();
     if (s == nullptr) fail(key, "missing or not a table");
@@ -202,8 +204,13 @@
   Table cl = p.sub("cloud");
   s.cloud_rps = cl.number("rps", 0.1);
   s.list_lag_s = cl.number("list_lag_s", 0);
-  if (root.contains("limits"))
-    s.socket_limit = static_cast<int>(t.sub("limits").number_or("fd_limit", 16, 0));
+  if (p.has("limits")) s.socket_limit = static_cast<int>(p.sub("limits").number_or("fd_limit", 16, 0));
+  for (const Table& aim : p.list("objectives")) {
+    if (aim.text("kind") != "deadline") continue;
+    double times = aim.number_or("times", 0.01, 1);
+    auto at = std::lower_bound(s.deadline_multiples.begin(), s.deadline_multiples.end(), times);
+    if (at == s.deadline_multiples.end() || *at != times) s.deadline_multiples.insert(at, times);
+  }
   // The hold is shortened where a cancellation could otherwise not be kept; see docs/design.md, "Time".
   constexpr double shortest_hold_s = 1;
   double longest = s.cancel_s - s.lease_over_s() - 2 * Settings::margin_s;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -389,7 +389,7 @@
     if (!tasks.empty()) take_with({});
     // Room that others leave soon is cheaper than a machine that has yet to boot.
     if (tasks.empty()) continue;
-    leaves -= static_cast<double>(tasks.size()) * model_.share_of_machine(j.spec);
+    leaves -= static_cast<double>(tasks.size()) * j.share;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
     if (patient || leaves < 0) rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
   }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -186,7 +186,7 @@
                             [&](const TaskId& id) { return id.job == index && id.task == task; }),
              m.on.end());
   m.used -= j.spec.need;
-  freed_ += share_of_machine(j.spec);
+  freed_ += j.share;
   if (m.on.empty()) {
     m.used = {};  // sums of decimals must not drift
     m.idle_since = now;
@@ -244,6 +244,7 @@
       team_use_[j.spec.part.v] += j.spec.need;
     }
     j.first_seen = now;
+    j.share = share_of_machine(j.spec);
     live_[j.spec.part.v].insert(index);
     SPDLOG_INFO("job {}: known, {} tasks", j.spec.ref, j.spec.tasks);
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -447,42 +447,6 @@
   return bins;
 }
 
-namespace {
-/// Whole, or the missing members of an attempt that has not run yet.
-bool gang_may_be_placed(const Job& j) {
-  GangState state = gang_state(j);
-  if (state == GangState::idle) return true;
-  if (state != GangState::gathering) return false;
-  return std::none_of(j.placed.begin(), j.placed.end(), [](const auto& p) {
-    return p.second.state == PlacementState::gone || p.second.state == PlacementState::stopping;
-  });
-}
-}  // namespace
-
-std::vector<JobIndex> waiting_order(const Model& model, PartIndex part, Clock clock) {
-  struct Entry {
-    int rank;
-    double slack, since;
-    JobIndex job;
-  };
-  std::vector<Entry> entries;
-  for (JobIndex ji : model.live_jobs(part)) {
-    const Job& j = model.job(ji);
-    if (j.pending() == 0) continue;
-    if (j.spec.shape == Shape::gang && !gang_may_be_placed(j)) continue;
-    double slack = j.spec.deadline_s < 0
-                       ? 1e9
-                       : j.spec.submitted_at + j.spec.deadline_s - clock.wall - j.spec.estimate_s;
-    entries.push_back({-static_cast<int>(j.spec.rank), slack, j.spec.submitted_at, ji});
-  }
-  std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-    return std::tie(a.rank, a.slack, a.since, a.job) < std::tie(b.rank, b.slack, b.since, b.job);
-  });
-  std::vector<JobIndex> out;
-  for (const Entry& e : entries) out.push_back(e.job);
-  return out;
-}
-
 Scheduler::Rooms Scheduler::rooms_of(PartIndex part, Seconds now) const {
   const Settings& s = model_.settings;
   Rooms rooms;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -58,6 +58,18 @@
 [settings.cloud]
 rps = 6.0
 list_lag_s = 4.0
+[settings.limits]
+fd_limit = 900
+[[settings.objectives]]
+kind = "deadline"
+class = "any"
+times = 1.5
+[[settings.objectives]]
+kind = "deadline"
+class = "any"
+[[settings.objectives]]
+kind = "guarantee"
+within_s = 5.0
 )";
 
 std::string with(const std::string& from, const std::string& to) {
@@ -83,6 +95,8 @@
   EXPECT_EQ(c.names.parts.size(), 2U);  // the pool and one part per team
   EXPECT_DOUBLE_EQ(c.settings.teams[1].most.gpus, 8);
   EXPECT_EQ(c.settings.txn_ops, 48U);
+  EXPECT_EQ(c.settings.socket_limit, 900);
+  EXPECT_EQ(c.settings.deadline_multiples, (std::vector<double>{1, 1.5}));
 }
 
 TEST_F(Config, RefusesWithFileKeyAndReason) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -75,6 +75,25 @@
   EXPECT_EQ(choose(s, {0}, bins, {0, 0})[0].bin, 1U);
 }
 
+TEST(Order, GivesUpTheFewestJobs) {
+  struct Case {
+    const char* what;
+    std::vector<Due> jobs;
+    double rate;
+    std::vector<bool> given_up;
+  };
+  const Case cases[] = {
+      {"all in time", {{10, 5}, {20, 5}}, 1, {false, false}},
+      {"the largest goes, whatever its time", {{10, 8}, {12, 4}, {14, 4}}, 1, {true, false, false}},
+      {"late already", {{-1, 1}, {5, 5}}, 1, {true, false}},
+      {"late already does not count against others", {{-1, 100}, {-2, 50}, {5, 5}}, 1, {true, true, false}},
+      {"no room comes", {{10, 1}, {20, 1}}, 0, {true, true}},
+      {"at its very time", {{5, 5}}, 1, {false}},
+      {"none", {}, 1, {}},
+  };
+  for (const Case& c : cases) EXPECT_EQ(give_up_late(c.jobs, c.rate), c.given_up) << c.what;
+}
+
 TEST(Placement, HowManyFit) {
   EXPECT_EQ(how_many_fit({6, 1, 36}, {32, 4, 192}), 4);
   EXPECT_EQ(how_many_fit({0.1, 0, 0}, {0.3, 0, 0}), 3);  // sums of decimals
