Pass on reports of workers that cannot reach their owner

Change: a worker that shows the present owner's token and has served it for a while, yet comes elsewhere, has lost it: its report goes on to the owner over the peer link and the answer back, within the worker's 4 s. Nothing else changes: the owner judges the report as if it came straight. After 30 s it is sent to its owner again.

--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -48,6 +48,7 @@
   std::string owner;  // redirect: node to report to; may be empty
   Stamp token = 0;
   std::vector<Order> orders;
+  bool left_owner = false;  // redirect: the worker has served this owner for long and cannot reach it now
 };
 
 /// A worker that is to report at once, by a command without orders whose token it has not seen.
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -13,7 +13,9 @@
 
  private:
   void on_request(net::Request&& r);
-  void on_report(const net::Request& r);
+  /// `passed_on`: by another node, since the worker cannot reach this one.
+  void on_report(const net::Request& r, bool passed_on);
+  void pass_on(const std::string& machine, const std::string& owner, const net::Request& r);
   void tick();
   void tend_hold();
   void claim_parts();
@@ -56,9 +58,11 @@
   std::vector<std::string> all_nodes_;
   double started_at_ = 0;
   bool renewing_ = false, node_key_ = false, catalog_stored_ = false;
-  Stamp known_revision_ = 0;  // highest that an own transaction got
+  Stamp known_revision_ = 0;                // highest that an own transaction got
   void malformed(const std::string& what);  // logged once per sender and kind
   std::set<std::string> bad_senders_;
+  std::unordered_map<std::string, double>
+      passing_on_;  // machines whose reports go on to their owner: since when
   Peers peers_;
   std::unique_ptr<net::HttpServer> server_;
 };
--- a/include/oxbowmill/service/peers.h
+++ b/include/oxbowmill/service/peers.h
@@ -31,7 +31,12 @@
   /// Tells the others at once, at most every few milliseconds.
   void tell();
   bool any_has_state() const;
+  /// Passes a worker's report on to the node that owns its machine. At once status 0 when that node has not
+  /// been heard for a while.
+  void relay(const std::string& node, const std::string& report, net::ResponseFn fn);
   std::function<void(std::uint64_t revision)> on_revision;
+  /// A report that another node passes on.
+  std::function<void(const net::Request&)> on_relayed;
 
  private:
   void on_request(net::Request&& r);
@@ -44,6 +49,7 @@
   };
   std::map<std::string, Heard> heard_;
   std::vector<std::unique_ptr<net::HttpClient>> links_;
+  std::map<std::string, std::unique_ptr<net::HttpClient>> relays_;
   std::vector<bool> busy_;
   net::Timer every_, soon_;
   std::unique_ptr<net::HttpServer> server_;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -145,6 +145,12 @@
     if (c.stamp == 0 || c.rec.node == model_.settings.node) return a;
     a.kind = ReportAnswer::Kind::redirect;
     a.owner = c.rec.node;
+    if (recorded) {
+      const Machine& m = model_.machine(mi);
+      Seconds settled = 2 * arrival_s();
+      a.left_owner = r.token >= model_.least_token(m) && clock.now - m.part_since > settled &&
+                     clock.now - c.since > settled;
+    }
     return a;
   }
   if (authority == Authority::none) return a;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -14,6 +14,7 @@
 constexpr double state_ok_s = 1.5;  // an answer of the state service counts as news for this long
 constexpr double catalog_every_s = 60;
 constexpr double claim_stagger_s = 0.6;  // between the preferred node's attempt and the next one's
+constexpr double pass_on_s = 30;         // how long reports are passed on before their owner is tried again
 constexpr double young_s = 5;            // a node that started so lately does not know who else is there
 }  // namespace
 
@@ -42,6 +43,7 @@
                         now() - store_.last_good() < state_ok_s};
       }) {
   peers_.on_revision = [this](Stamp r) { mirror_.nudge(r); };
+  peers_.on_relayed = [this](const net::Request& r) { on_report(r, true); };
   intake_.on_write = [this](Stamp r) {
     known_revision_ = std::max(known_revision_, r);
     mirror_.nudge(r);
@@ -78,7 +80,7 @@
     return false;
   };
   if (r.path == "/hello") {
-    if (need(EVHTTP_REQ_POST)) on_report(r);
+    if (need(EVHTTP_REQ_POST)) on_report(r, false);
   } else if (r.path == "/up") {
     if (need(EVHTTP_REQ_GET)) r.responder->reply(ready() ? 200 : 503, "");
   } else if (r.path == jobs) {
@@ -98,7 +100,7 @@
   }
 }
 
-void Node::on_report(const net::Request& r) {
+void Node::on_report(const net::Request& r, bool passed_on) {
   auto body = wire::decode_map(r.body);
   auto report = body ? wire::read_report(*body) : std::nullopt;
   if (!report) {
@@ -117,6 +119,7 @@
       r.responder->reply(200, wire::encode(wire::write_answer(a)));
       break;
     case ReportAnswer::Kind::redirect:
+      if (!passed_on && a.left_owner) return pass_on(report->machine, a.owner, r);
       r.responder->reply(421, wire::encode(wire::write_answer(a)));
       break;
     case ReportAnswer::Kind::refuse:
@@ -125,6 +128,23 @@
   }
 }
 
+void Node::pass_on(const std::string& machine, const std::string& owner, const net::Request& r) {
+  // The worker knows its owner and has come here all the same: a cut between zones, it seems, that a node in
+  // a third zone can bridge. Now and then it is sent to its owner again.
+  auto [since, fresh] = passing_on_.try_emplace(machine, now());
+  if (!fresh && now() - since->second > pass_on_s) {
+    passing_on_.erase(since);
+    r.responder->reply(421, wire::encode(wire::write_answer({ReportAnswer::Kind::redirect, owner, 0, {}})));
+    return;
+  }
+  if (fresh) SPDLOG_INFO("machine {}: its reports are passed on to {}", machine, owner);
+  peers_.relay(owner, r.body, [this, machine, to = r.responder](const net::Response& answer) {
+    if (answer.status == 200) return to->reply(200, answer.body);
+    passing_on_.erase(machine);
+    to->reply(503, "", 1);
+  });
+}
+
 void Node::malformed(const std::string& what) {
   constexpr std::size_t most_remembered = 1000;
   if (bad_senders_.size() < most_remembered && bad_senders_.insert(what).second)
--- a/src/service/peers.cpp
+++ b/src/service/peers.cpp
@@ -2,15 +2,18 @@
 
 #include <msgpack.hpp>
 
+#include "oxbowmill/wire/codec.h"
+
 namespace oxbowmill::service {
 
 namespace {
 constexpr double every_s = 1.0;
 constexpr double soon_s = 0.005;
 constexpr double fresh_s = 3.0;
-constexpr double alone_s = 3.0;      // without the state service, while a peer has it
-constexpr double everyone_s = 60.0;  // without the state service, like everyone
-constexpr std::size_t most_body = 4096;
+constexpr double alone_s = 3.0;          // without the state service, while a peer has it
+constexpr double everyone_s = 60.0;      // without the state service, like everyone
+constexpr double relay_timeout_s = 1.0;  // a worker that gets no answer here must still find another node
+constexpr std::size_t relay_connections = 4;
 }  // namespace
 
 std::string encode(const PeerNews& n) {
@@ -55,10 +58,12 @@
                every_.after(every_s);
              }),
       soon_(base, [this] { send(); }) {
-  for (const config::Peer& p : config.peers)
+  for (const config::Peer& p : config.peers) {
     links_.push_back(std::make_unique<net::HttpClient>(base, p.address, 1));
+    relays_[p.node] = std::make_unique<net::HttpClient>(base, p.address, relay_connections);
+  }
   busy_.assign(links_.size(), false);
-  server_ = std::make_unique<net::HttpServer>(base, config.peer_bind, most_body,
+  server_ = std::make_unique<net::HttpServer>(base, config.peer_bind, wire::most_body,
                                               [this](net::Request&& r) { on_request(std::move(r)); });
   every_.after(0);
 }
@@ -76,7 +81,15 @@
   }
 }
 
+void Peers::relay(const std::string& node, const std::string& report, net::ResponseFn fn) {
+  auto to = relays_.find(node);
+  auto heard = heard_.find(node);
+  if (to == relays_.end() || heard == heard_.end() || now_() - heard->second.at > fresh_s) return fn({});
+  to->second->send(EVHTTP_REQ_POST, "/relay", report, relay_timeout_s, std::move(fn));
+}
+
 void Peers::on_request(net::Request&& r) {
+  if (r.method == EVHTTP_REQ_POST && r.path == "/relay" && on_relayed) return on_relayed(r);
   auto news = r.method == EVHTTP_REQ_POST && r.path == "/peer" ? decode_news(r.body) : std::nullopt;
   if (!news) return r.responder->reply(400, "");
   r.responder->reply(200, "");
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -449,6 +449,27 @@
   EXPECT_FALSE(c.worker("m1").command(ring));  // a late ring is refused
 }
 
+TEST(Fencing, WorkerThatLeftItsOwnerIsToldFromOneThatHasYetToFindIt) {
+  // Only the former's reports are passed on: across a cut between zones its lease would run out.
+  Cluster c;
+  c.add_machine("m1");
+  c.node(1).sync(c.now);
+  auto a = c.node(1).hear(c.worker("m1").report(c.now), c.now);
+  EXPECT_EQ(a.kind, Kind::redirect);
+  EXPECT_FALSE(a.left_owner);  // never served by it
+  c.run(5);
+  a = c.node(1).hear(c.worker("m1").report(c.now), c.now);
+  EXPECT_FALSE(a.left_owner);  // just handed over, it may have been told to report at once
+  c.run(30);
+  a = c.node(1).hear(c.worker("m1").report(c.now), c.now);
+  EXPECT_EQ(a.kind, Kind::redirect);
+  EXPECT_EQ(a.owner, "node-0");
+  EXPECT_TRUE(a.left_owner);
+  c.kill_node(0);
+  c.node(1).sync(c.now);
+  EXPECT_EQ(c.node(1).hear(c.worker("m1").report(c.now), c.now).kind, Kind::refuse);
+}
+
 TEST(Fencing, AttemptsAreNeverUsedTwice) {
   Cluster c;
   c.add_machine("m1");
