A zone out of reach is neither rented in nor counted on

Ruled out: the cloud's refusals. Change: an owner that has not heard most of a zone's machines for a while, but others, calls the zone out of reach, tells its peers, and nobody places, gathers, counts on or rents machines there until they speak again. Test with the stand-ins.

--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -72,6 +72,12 @@
   bool owns_any() const;
   bool leads() const { return owns(pool_part); }
   Guard claim_guard(PartIndex p) const;
+  /// Most machines of the zone that should report here have not for a while, or another owner says so: what
+  /// is rented, booted or free there is of no use for now.
+  bool dark(ZoneIndex z, Seconds now) const;
+  /// What this node sees itself, for the others.
+  std::vector<ZoneIndex> dark_zones(Seconds now) const;
+  void heard_of_dark(ZoneIndex z, Seconds now);
   /// A machine without a record showed itself; the leader takes it in.
   std::function<void(const WorkerReport&)> on_unrecorded;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
@@ -144,6 +150,14 @@
   Effects later_;  // what outcomes bring about between passes
   std::map<std::uint64_t, Pending> pending_;
   std::map<std::uint32_t, Stamp> term_;  // by part: the claim we last prepared for
+  struct ZoneSight {
+    Seconds dark_until = -1e9;         // by what this node sees
+    Seconds told_until = -1e9;         // by what others said
+    std::uint32_t heard = 0, due = 0;  // machines in the check under way
+  };
+  void begin_zone_check();
+  void end_zone_check(Seconds now);
+  std::vector<ZoneSight> zones_;
   Seconds next_machine_check_ = 0, next_slow_check_ = 0;
 };
 
--- a/include/oxbowmill/service/peers.h
+++ b/include/oxbowmill/service/peers.h
@@ -13,8 +13,9 @@
 /// A controller's word about itself.
 struct PeerNews {
   std::string node;
-  std::uint64_t revision = 0;  // of the last change it knows of
-  bool state_ok = false;       // the state service answers it
+  std::uint64_t revision = 0;     // of the last change it knows of
+  bool state_ok = false;          // the state service answers it
+  std::vector<std::string> dark;  // zones whose machines do not reach it
 };
 std::string encode(const PeerNews& n);
 std::optional<PeerNews> decode_news(const std::string& body);
@@ -35,6 +36,7 @@
   /// been heard for a while.
   void relay(const std::string& node, const std::string& report, net::ResponseFn fn);
   std::function<void(std::uint64_t revision)> on_revision;
+  std::function<void(const std::string& zone)> on_dark;
   /// A report that another node passes on.
   std::function<void(const net::Request&)> on_relayed;
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -225,6 +225,7 @@
     for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
       const Machine& m = model_.machine(mi);
       if (m.state == MachineState::deleting || m.failed_listed || m.recalled) continue;
+      if (scheduler_.dark(m.rec.zone, now)) continue;
       if (m.rec.wanted_by.valid() ? m.rec.wanted_by != part : PartIndex{p} != part) continue;
       Amounts room = m.rec.wanted_by.valid() ? model_.catalog[m.rec.type.v].room : model_.room(m);
       add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room, now - m.known_since);
@@ -314,7 +315,7 @@
     const Machine& m = model_.machine(mi);
     bool fresh = m.state == MachineState::expected && clock.now - m.known_since < model_.settings.lease_s;
     if ((m.state != MachineState::ready && !fresh) || m.recalled || m.writing || m.failed_listed ||
-        !m.on.empty()) {
+        !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now)) {
       continue;
     }
     pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m), 1});
@@ -416,6 +417,7 @@
     int per = how_many_fit(spec.need, type.room);
     if (per == 0) continue;
     for (ZoneIndex z : type.zones) {
+      if (scheduler_.dark(z, clock.now)) continue;  // what boots there cannot report
       std::size_t have = static_cast<std::size_t>(
           std::count_if(bins.begin(), bins.end(), [z](const Bin& b) { return b.zone == z; }));
       for (bool spot : {true, false}) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -11,10 +11,13 @@
 
 namespace {
 const std::vector<PlacedTask> nothing_planned;
-constexpr double leave_s = 1.5;        // from the stop of a task that has saved to a start in its room
-constexpr double hand_over_s = 4;      // until a machine that another part drains for us reports here
-constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
-constexpr double ring_saves_s = 1;     // a worker is asked to report at once when that saves so much
+constexpr double leave_s = 1.5;              // from the stop of a task that has saved to a start in its room
+constexpr double hand_over_s = 4;            // until a machine that another part drains for us reports here
+constexpr double worth_looking_s = 5;        // a gang that would start later than this is worth a second look
+constexpr std::uint32_t least_for_dark = 4;  // machines that speak for their zone
+constexpr double stays_dark_s = 20;  // a zone out of reach counts so for this long after the last sign of it
+constexpr double told_dark_s = 3;    // another owner's word counts so long
+constexpr double ring_saves_s = 1;   // a worker is asked to report at once when that saves so much
 
 bool is_leaving(const Placement& p) {
   return p.state == PlacementState::stopping || p.state == PlacementState::gone ||
@@ -338,6 +341,41 @@
   }
 }
 
+bool Scheduler::dark(ZoneIndex z, Seconds now) const {
+  return z.valid() && z.v < zones_.size() && (zones_[z.v].dark_until > now || zones_[z.v].told_until > now);
+}
+
+std::vector<ZoneIndex> Scheduler::dark_zones(Seconds now) const {
+  std::vector<ZoneIndex> out;
+  for (std::uint32_t z = 0; z < zones_.size(); ++z) {
+    if (zones_[z].dark_until > now) out.push_back(ZoneIndex{z});
+  }
+  return out;
+}
+
+void Scheduler::heard_of_dark(ZoneIndex z, Seconds now) {
+  zones_.resize(model_.names.zones.size());
+  if (z.valid() && z.v < zones_.size()) zones_[z.v].told_until = now + told_dark_s;
+}
+
+void Scheduler::begin_zone_check() {
+  zones_.resize(model_.names.zones.size());
+  for (ZoneSight& z : zones_) z.heard = z.due = 0;
+}
+
+void Scheduler::end_zone_check(Seconds now) {
+  // One that hears no zone at all has lost the network itself.
+  bool any = std::any_of(zones_.begin(), zones_.end(), [](const ZoneSight& z) { return z.heard > 0; });
+  for (std::uint32_t i = 0; i < zones_.size(); ++i) {
+    ZoneSight& z = zones_[i];
+    bool silent = any && z.due >= least_for_dark && z.heard * 4 < z.due;
+    if (silent && z.dark_until < now)
+      SPDLOG_INFO("zone {}: out of reach", model_.names.zones.name(ZoneIndex{i}));
+    if (silent) z.dark_until = now + stays_dark_s;
+    if (z.heard * 2 > z.due) z.dark_until = -1e9;
+  }
+}
+
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
@@ -349,6 +387,11 @@
     // While a machine has not shown our token, the earlier owner may have kept it alive through its grace.
     bool silent = m.last_answered >= 0 ? now - m.last_answered > s.lease_over_s()
                                        : m.state == MachineState::unaccounted;
+    if (m.last_answered >= 0 && m.state != MachineState::deleting) {
+      ZoneSight& z = zones_[m.rec.zone.v];
+      ++z.due;
+      z.heard += now - m.last_answered < 1.6 * s.report_s + 0.5 ? 1 : 0;
+    }
     if (m.state == MachineState::unaccounted) silent = silent && now - m.part_since > s.takeover_silence_s();
     bool news = m.state != MachineState::silent && m.state != MachineState::deleting;
     for (TaskId id : m.on) {
@@ -454,7 +497,7 @@
     // A machine that has missed reports may be gone: nothing new goes there until it speaks again.
     bool speaking =
         m.state == MachineState::ready && now - m.last_answered < 2.5 * model_.settings.report_s + 1;
-    if (!arriving && !speaking) continue;
+    if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
     bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
   }
   return bins;
@@ -480,7 +523,8 @@
     const Machine& m = model_.machine(mi);
     Seconds boot = model_.catalog[m.rec.type.v].boot_s, age = now - m.known_since;
     bool booting = m.state == MachineState::expected && !m.up && m.on.empty() && age < 2 * boot;
-    if (booting && !m.rec.wanted_by.valid()) add(mi, m, std::max(s.report_s, boot - age));
+    if (booting && !m.rec.wanted_by.valid() && !dark(m.rec.zone, now))
+      add(mi, m, std::max(s.report_s, boot - age));
   }
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     if (PartIndex{p} == part) continue;
@@ -780,10 +824,16 @@
   if (check_machines) next_machine_check_ = clock.now + 0.2;
   if (check_slow) next_slow_check_ = clock.now + model_.settings.op.check_interval_s;
   std::map<JobIndex, std::vector<PlacedTask>> planned;
+  if (check_machines) {
+    begin_zone_check();
+    for (std::uint32_t p = 0; p < model_.parts(); ++p) {
+      if (owns(PartIndex{p})) watch_machines(PartIndex{p}, clock, out);
+    }
+    end_zone_check(clock.now);
+  }
   for (std::uint32_t p = 0; p < model_.parts(); ++p) {
     PartIndex part{p};
     if (!owns(part)) continue;
-    if (check_machines) watch_machines(part, clock, out);
     if (part == pool_part) continue;
     if (check_slow) find_slow(part, clock.now);
     place(part, clock, check_machines, planned);
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -39,10 +39,17 @@
       cloud_bucket_(model_.settings.cloud_rps * 0.8, model_.settings.cloud_rps),
       tick_(base, [this] { tick(); }),
       peers_(base, config_, &Node::now, [this] {
-        return PeerNews{model_.settings.node, std::max(known_revision_, scheduler_.seen_revision()),
-                        now() - store_.last_good() < state_ok_s};
+        PeerNews n{model_.settings.node,
+                   std::max(known_revision_, scheduler_.seen_revision()),
+                   now() - store_.last_good() < state_ok_s,
+                   {}};
+        for (ZoneIndex z : scheduler_.dark_zones(now())) n.dark.push_back(model_.names.zones.name(z));
+        return n;
       }) {
   peers_.on_revision = [this](Stamp r) { mirror_.nudge(r); };
+  peers_.on_dark = [this](const std::string& z) {
+    scheduler_.heard_of_dark(model_.names.zones.find(z), now());
+  };
   peers_.on_relayed = [this](const net::Request& r) { on_report(r, true); };
   intake_.on_write = [this](Stamp r) {
     known_revision_ = std::max(known_revision_, r);
--- a/src/service/peers.cpp
+++ b/src/service/peers.cpp
@@ -19,13 +19,15 @@
 std::string encode(const PeerNews& n) {
   msgpack::sbuffer out;
   msgpack::packer<msgpack::sbuffer> p(out);
-  p.pack_map(3);
+  p.pack_map(4);
   p.pack("node");
   p.pack(n.node);
   p.pack("revision");
   p.pack(n.revision);
   p.pack("state_ok");
   p.pack(n.state_ok);
+  p.pack("dark");
+  p.pack(n.dark);
   return {out.data(), out.size()};
 }
 
@@ -38,6 +40,8 @@
     fields.at("node").convert(n.node);
     fields.at("revision").convert(n.revision);
     fields.at("state_ok").convert(n.state_ok);
+    auto dark = fields.find("dark");
+    if (dark != fields.end()) dark->second.convert(n.dark);
     return n;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -95,6 +99,9 @@
   r.responder->reply(200, "");
   heard_[news->node] = {now_(), news->state_ok};
   if (news->state_ok && on_revision) on_revision(news->revision);
+  for (const std::string& zone : news->dark) {
+    if (on_dark) on_dark(zone);
+  }
 }
 
 bool Peers::any_has_state() const {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -205,11 +205,12 @@
 }
 
 TEST(Peers, NewsSurvivesTheLinkAndJunkIsRefused) {
-  auto n = service::decode_news(service::encode({"n1", 1ULL << 40, true}));
+  auto n = service::decode_news(service::encode({"n1", 1ULL << 40, true, {"a"}}));
   ASSERT_TRUE(n);
   EXPECT_EQ(n->node, "n1");
   EXPECT_EQ(n->revision, 1ULL << 40);
   EXPECT_TRUE(n->state_ok);
+  EXPECT_EQ(n->dark, std::vector<std::string>{"a"});
   for (const std::string& junk :
        {std::string(), std::string("x"), std::string("\x81\xa4node", 6), std::string(100, '\xff')}) {
     EXPECT_FALSE(service::decode_news(junk));
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -358,6 +358,36 @@
   EXPECT_FALSE(c.state.keys().at("o/m/m1").value.at("del").get<bool>());
 }
 
+TEST(Fleet, ZoneOutOfReachIsNeitherRentedInNorCountedOn) {
+  Cluster c;
+  for (int i = 0; i < 5; ++i) {
+    c.add_machine("a" + std::to_string(i), "a", "blue");
+    c.add_machine("b" + std::to_string(i), "b", "blue");
+  }
+  c.run(3);
+  for (int i = 0; i < 5; ++i) c.silenced.insert("a" + std::to_string(i));
+  c.run(4);
+  EXPECT_TRUE(c.node(0).scheduler.dark(ZoneIndex{0}, c.now));
+  EXPECT_FALSE(c.node(0).scheduler.dark(ZoneIndex{1}, c.now));
+  JobSpec s = test_job("run-1", 40);  // more than zone b has
+  s.part = PartIndex{2};
+  c.submit(s);
+  c.run(6);
+  ASSERT_FALSE(c.node(0).rents.empty());
+  for (const RentOrder& r : c.node(0).rents) EXPECT_EQ(r.zone.v, 1U);
+  EXPECT_EQ(c.log.starts.size(), 20U);
+  c.silenced.clear();
+  c.run(2);
+  EXPECT_FALSE(c.node(0).scheduler.dark(ZoneIndex{0}, c.now));
+  // A node that hears nobody has lost the network itself: no zone is to blame.
+  for (int i = 0; i < 5; ++i) {
+    c.silenced.insert("a" + std::to_string(i));
+    c.silenced.insert("b" + std::to_string(i));
+  }
+  c.run(4);
+  EXPECT_TRUE(c.node(0).scheduler.dark_zones(c.now).empty());
+}
+
 TEST(Fleet, MachineNobodyAskedForIsTakenIn) {
   Cluster c;
   c.add_machine("m1", "a", ".pool");
