Refuse users at once while the state service is silent

Ruled out: the pause after 503, the processor. Change: with calls out and none answered for 0.8 s users get 503 with Retry-After at once, and so does a request that has waited 0.8 s for its turn; calls wait in the store's own queues, by urgency, until a connection is free. Test against a listener that never speaks.

--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -115,6 +115,8 @@
   void send(evhttp_cmd_type method, const std::string& path, std::string body, double timeout_s,
             ResponseFn fn);
   std::size_t waiting() const { return queue_.size(); }
+  /// All connections are busy: a further request would wait.
+  bool full() const;
 
  private:
   struct Job;
--- a/include/oxbowmill/state/store.h
+++ b/include/oxbowmill/state/store.h
@@ -32,6 +32,8 @@
   /// When an answer other than 429 and 503 last came.
   double last_good() const { return last_good_; }
   std::size_t backlog() const;
+  /// Calls are out and none has been answered for so long, with whatever status.
+  double silent_for() const;
 
  private:
   struct Call {
@@ -39,7 +41,9 @@
     std::string path, body;
     double changes = 0, timeout_s = 2;
     AnswerFn fn;
+    double queued_at = 0;
   };
+  void drop_stale(double now);
   void submit(Urgency urgency, Call call);
   void pump();
   void send(net::HttpClient& client, Call call);
@@ -51,6 +55,8 @@
   net::Timer timer_;
   double last_good_ = -1e9;
   double paused_until_ = 0;
+  std::size_t out_ = 0;  // calls without an answer yet
+  double last_heard_ = 0;
 };
 
 }  // namespace oxbowmill::state
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -158,6 +158,11 @@
   }
 }
 
+bool HttpClient::full() const {
+  return !queue_.empty() ||
+         std::all_of(slots_.begin(), slots_.end(), [](const auto& s) { return s->job != nullptr; });
+}
+
 void HttpClient::send(evhttp_cmd_type method, const std::string& path, std::string body, double timeout_s,
                       ResponseFn fn) {
   auto job = std::make_unique<Job>();
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -12,6 +12,7 @@
 constexpr int retry_after_s = 1;
 constexpr int most_tries = 5;
 constexpr std::size_t most_backlog = 200;
+constexpr double silent_s = 0.8;
 
 void refuse(const net::ResponderPtr& to) {
   to->reply(503, "", retry_after_s);
@@ -31,7 +32,9 @@
 }
 
 bool Intake::overloaded(const net::ResponderPtr& to) const {
-  if (ready() && store_.backlog() < most_backlog) return false;
+  // While the state service does not answer, or has more to do than it can, a refusal at once is the better
+  // answer: nothing is held back in hope.
+  if (ready() && store_.backlog() < most_backlog && store_.silent_for() < silent_s) return false;
   refuse(to);
   return true;
 }
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 constexpr double call_timeout_s = 2.0;
-}
+constexpr double user_wait_s = 0.8;  // longer than this no user's request waits here for its turn
+}  // namespace
 
 Store::Store(event_base* base, const net::Address& address, const Settings& settings,
              std::function<double()> now)
@@ -37,19 +38,38 @@
   return n;
 }
 
+double Store::silent_for() const {
+  return out_ == 0 ? 0 : now_() - last_heard_;
+}
+
+void Store::drop_stale(double now) {
+  // Its user would wait in vain and hold a connection: the answer is "come back", at once.
+  auto& q = queues_[static_cast<std::size_t>(Urgency::user)];
+  while (!q.empty() && now - q.front().queued_at > user_wait_s) {
+    AnswerFn fn = std::move(q.front().fn);
+    q.pop_front();
+    fn({});
+  }
+  if (!q.empty() && !timer_.pending()) timer_.after(user_wait_s);
+}
+
 void Store::submit(Urgency urgency, Call call) {
+  call.queued_at = now_();
   queues_[static_cast<std::size_t>(urgency)].push_back(std::move(call));
   pump();
 }
 
 void Store::pump() {
   double now = now_();
+  drop_stale(now);
   if (now < paused_until_) {
     if (!timer_.pending()) timer_.after(paused_until_ - now);
     return;
   }
   for (auto& q : queues_) {
     while (!q.empty()) {
+      // What waits here goes in order of urgency; what waits for a connection does not.
+      if (calls_.full()) return;
       double wait = std::max(requests_.wait_for(1, now),
                              q.front().changes > 0 ? changes_.wait_for(q.front().changes, now) : 0);
       if (wait > 0) {
@@ -68,8 +88,12 @@
 
 void Store::send(net::HttpClient& client, Call call) {
   double sent_at = now_();
+  bool counts = &client == &calls_;
+  if (counts && out_++ == 0) last_heard_ = sent_at;
   client.send(call.method, call.path, std::move(call.body), call.timeout_s,
-              [this, sent_at, fn = std::move(call.fn), path = call.path](const net::Response& r) {
+              [this, sent_at, counts, fn = std::move(call.fn), path = call.path](const net::Response& r) {
+                if (counts) --out_;
+                if (counts && r.status != 0) last_heard_ = now_();
                 StoreAnswer a;
                 a.status = r.status;
                 a.sent_at = sent_at;
@@ -87,6 +111,7 @@
                   last_good_ = now_();
                 }
                 fn(a);
+                if (counts) pump();
               });
 }
 
--- /dev/null
+++ b/tests/store_test.cpp
@@ -0,0 +1,61 @@
+// The client of the state service when that service does not answer.
+#include "oxbowmill/state/store.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace oxbowmill {
+namespace {
+
+/// Takes connections and says nothing.
+class Mute {
+ public:
+  Mute() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a);
+    ::listen(fd_, 16);
+    socklen_t n = sizeof a;
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &n);
+    port = ntohs(a.sin_port);
+  }
+  ~Mute() { ::close(fd_); }
+  Mute(const Mute&) = delete;
+  Mute& operator=(const Mute&) = delete;
+  std::uint16_t port = 0;
+
+ private:
+  int fd_;
+};
+
+TEST(Store, UsersAreNotHeldBackWhileTheStateServiceIsSilent) {
+  // Requests once waited for each other's time-outs until their users gave up.
+  Mute mute;
+  auto base = net::make_base();
+  double now = 100;
+  Settings settings;
+  state::Store store(base.get(), {"127.0.0.1", mute.port}, settings, [&now] { return now; });
+  int given_up = 0, placements = 0;
+  for (int i = 0; i < 20; ++i) {
+    store.get("o/j/run-" + std::to_string(i), Urgency::user, [&given_up](const state::StoreAnswer& a) {
+      EXPECT_EQ(a.status, 0);
+      ++given_up;
+    });
+  }
+  store.txn({{"guards", wire::Json::array()}, {"apply", wire::Json::array()}}, Urgency::placement,
+            [&placements](const state::StoreAnswer&) { ++placements; });
+  EXPECT_EQ(given_up, 0);
+  EXPECT_EQ(store.silent_for(), 0);
+  std::size_t out = 21 - store.backlog();  // on their way; they have their own time-out
+  now += 1;
+  EXPECT_GE(store.silent_for(), 0.9);
+  store.get("o/j/run-20", Urgency::user, [](const state::StoreAnswer&) {});
+  EXPECT_EQ(given_up, 20 - static_cast<int>(out));
+  EXPECT_EQ(placements, 0);  // only users are told to come back
+}
+
+}  // namespace
+}  // namespace oxbowmill
