--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -51,6 +51,15 @@
   bool left_owner = false;  // redirect: the worker has served this owner for long and cannot reach it now
 };
 
+/// Placement records that one transaction changes, with the job's record and its final phase beside them.
+inline std::size_t most_chunks(const Settings& s) {
+  return std::min<std::size_t>(s.txn_ops - 2, 8);
+}
+/// Machines that one transaction can guard beside the claim, the job and those records.
+inline std::size_t most_machines(const Settings& s) {
+  return 4 * s.txn_ops - 2 - most_chunks(s);
+}
+
 /// A worker that is to report at once, by a command without orders whose token it has not seen.
 struct Ring {
   MachineIndex machine;
--- /dev/null
+++ b/src/core/placing.cpp
@@ -0,0 +1,215 @@
+// The scheduler's placing: which waiting tasks go where, what makes room for them and how gangs gather.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "oxbowmill/core/scheduler.h"
+
+namespace oxbowmill {
+
+namespace {
+
+constexpr double leave_s = 1.5;        // from the stop of a task that has saved to a start in its room
+constexpr double hand_over_s = 4;      // until a machine that another part drains for us reports here
+constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
+constexpr double leader_looks_s = 0.7;
+
+bool is_leaving(const Placement& p) {
+  return p.state == PlacementState::stopping || p.state == PlacementState::gone ||
+         p.state == PlacementState::finished;
+}
+
+}  // namespace
+
+std::vector<Bin> Scheduler::bins_of(PartIndex part, Seconds now) const {
+  std::vector<Bin> bins;
+  for (MachineIndex mi : model_.machines_of(part)) {
+    const Machine& m = model_.machine(mi);
+    if (m.recalled || m.writing || m.rec.wanted_by.valid()) continue;
+    if (m.blocked_until > now || m.faulty_until > now) continue;
+    // A machine just handed over reports here within moments: its tasks may be placed already.
+    bool arriving = m.state == MachineState::expected && m.up && now - m.part_since < arrival_s();
+    // A machine that has missed reports may be gone: nothing new goes there until it speaks again.
+    bool speaking =
+        m.state == MachineState::ready && now - m.last_answered < 2.5 * model_.settings.report_s + 1;
+    if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
+    bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
+  }
+  return bins;
+}
+
+Scheduler::Rooms Scheduler::rooms_of(PartIndex part, Seconds now) const {
+  const Settings& s = model_.settings;
+  Rooms rooms;
+  rooms.bins = bins_of(part, now);
+  rooms.real = rooms.bins.size();
+  for (const Bin& b : rooms.bins) {
+    Amounts leaving;
+    for (TaskId id : model_.machine(b.machine).on) {
+      if (is_leaving(*model_.find_placement(id))) leaving += model_.job(id.job).spec.need;
+    }
+    rooms.leaving.push_back(leaving);
+  }
+  auto add = [&](MachineIndex mi, const Machine& m, Seconds wait) {
+    rooms.bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, wait, Amounts{}});
+    rooms.leaving.push_back(model_.catalog[m.rec.type.v].room);
+  };
+  for (MachineIndex mi : model_.machines_of(part)) {
+    const Machine& m = model_.machine(mi);
+    Seconds boot = model_.catalog[m.rec.type.v].boot_s, age = now - m.known_since;
+    bool booting = m.state == MachineState::expected && !m.up && m.on.empty() && age < 2 * boot;
+    if (booting && !m.rec.wanted_by.valid() && !dark(m.rec.zone, now))
+      add(mi, m, std::max(s.report_s, boot - age));
+  }
+  for (std::uint32_t p = 1; p < model_.parts(); ++p) {
+    if (PartIndex{p} == part) continue;
+    for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
+      const Machine& m = model_.machine(mi);
+      if (m.rec.wanted_by == part && m.rec.mark == MachineMark::none) add(mi, m, hand_over_s);
+    }
+  }
+  return rooms;
+}
+
+bool Scheduler::may_make_room(const Job& victim, const Job& j) const {
+  return model_.settings.op.preempt && victim.spec.rank < j.spec.rank && victim.spec.save_every_s > 0;
+}
+
+std::vector<Bin> Scheduler::foresee(const Job& j, const Rooms& rooms, bool preempting) const {
+  std::vector<Bin> bins = rooms.bins;
+  for (std::size_t i = 0; i < bins.size(); ++i) {
+    Bin& b = bins[i];
+    if (fits(j.spec.need, b.room)) continue;
+    b.room += rooms.leaving[i];
+    if (i >= rooms.real) continue;
+    b.wait_s = leave_s;
+    if (fits(j.spec.need, b.room) || !preempting) continue;
+    for (TaskId id : model_.machine(b.machine).on) {
+      const Job& victim = model_.job(id.job);
+      if (!may_make_room(victim, j) || is_leaving(*model_.find_placement(id))) continue;
+      b.room += victim.spec.need;
+      b.wait_s = std::max(b.wait_s, leave_s + victim.spec.flush_s);
+      b.cost = 2;
+    }
+  }
+  see_as(j.spec, model_, bins);
+  return bins;
+}
+
+void Scheduler::make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+                          Seconds now) {
+  std::map<MachineIndex, Amounts> needed;
+  for (const Choice& c : choices) needed[bins[c.bin].machine] += j.spec.need;
+  for (auto& [mi, need] : needed) {
+    const Machine& m = model_.machine(mi);
+    if (m.rec.part != j.spec.part) continue;
+    Amounts free = model_.room(m);
+    for (TaskId id : m.on) {
+      if (is_leaving(*model_.find_placement(id))) free += model_.job(id.job).spec.need;
+    }
+    for (TaskId id : std::vector<TaskId>(m.on)) {
+      if (fits(need, free)) break;
+      Placement& p = *model_.find_placement(id);
+      Job& victim = model_.job(id.job);
+      if (!may_make_room(victim, j) || is_leaving(p)) continue;
+      free += victim.spec.need;
+      SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
+      stop(p, victim.spec.flush_s, now);
+      if (victim.spec.shape == Shape::gang) check_gang(victim, now);
+    }
+  }
+}
+
+void Scheduler::plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+                     std::map<JobIndex, std::vector<PlacedTask>>& planned) {
+  Job& j = model_.job(ji);
+  bool gang = j.spec.shape == Shape::gang;
+  PartIndex part = j.spec.part;
+  Attempt shared = !gang ? 0 : j.placed.empty() ? next_attempt(part) : j.placed.begin()->second.attempt;
+  // What exceeds one transaction follows in the next; the rest of a large gang as missing members.
+  std::set<MachineIndex> machines;
+  std::set<std::uint32_t> chunks;
+  for (const Choice& c : choices) {
+    machines.insert(bins[c.bin].machine);
+    chunks.insert(c.task / chunk_tasks);
+    if (machines.size() > most_machines(model_.settings) || chunks.size() > most_chunks(model_.settings))
+      break;
+    planned[ji].push_back({c.task, bins[c.bin].machine, gang ? shared : next_attempt(part), false});
+  }
+}
+
+void Scheduler::let_go_if_stranded(Job& j, Seconds now) {
+  // Two gangs that each hold half of what both need would hold it for ever.
+  if (j.stranded_since < 0) j.stranded_since = now;
+  if (now - j.stranded_since < model_.settings.gang_wait_s) return;
+  SPDLOG_INFO("job {}: its missing members have nowhere to go; the others let go", j.spec.ref);
+  j.stranded_since = -1;
+  for (auto& [t, p] : j.placed) stop(p, 0, now);
+}
+
+void Scheduler::place(PartIndex part, Clock clock, bool thorough,
+                      std::map<JobIndex, std::vector<PlacedTask>>& planned) {
+  auto order = waiting_order(model_, part, clock);
+  if (order.empty()) return;
+  Rooms rooms = rooms_of(part, clock.now);
+  const Team& team = model_.settings.teams[part.v];
+  auto quota = [](double most, double used) { return most > 0 ? most - used : 1e12; };
+  Amounts use = model_.team_use(part);  // all that is possibly on a machine, with what is being written
+  Amounts left{quota(team.most.cpus, use.cpus), quota(team.most.gpus, use.gpus), 1e12};
+  for (JobIndex ji : order) {
+    Job& j = model_.job(ji);
+    if (j.writing || clock.now < j.write_after || clock.now < j.place_after) continue;
+    bool gang = j.spec.shape == Shape::gang;
+    std::size_t most =
+        std::min<std::size_t>(j.pending(), static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
+    if (most == 0 || (gang && most < j.pending())) continue;
+    auto tasks = model_.pending_tasks(j, most);
+    auto by_zone = tasks_by_zone(model_, j);
+    bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
+    std::vector<Bin> bins = rooms.bins;
+    see_as(j.spec, model_, bins);
+    auto choices = choose(j.spec, tasks, bins, by_zone);
+    Seconds start = last_start(choices, bins);
+    // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
+    // fetch and wait on those that are there. Otherwise smaller jobs would take these one by one. And a
+    // machine that has the image may start it sooner than one that is free.
+    if (gang && (choices.empty() || start > worth_looking_s)) {
+      for (bool others : {false, true}) {
+        if (others && !preempting) continue;
+        std::vector<Bin> seen = foresee(j, rooms, others);
+        auto better = choose(j.spec, tasks, seen, by_zone);
+        if (better.empty() || (!choices.empty() && last_start(better, seen) + leave_s > start)) continue;
+        choices = std::move(better);
+        start = last_start(choices, seen);
+        bins = std::move(seen);
+      }
+    } else if (choices.size() < tasks.size() && preempting) {
+      std::vector<Bin> seen = foresee(j, rooms, false);
+      std::size_t soon = choose(j.spec, tasks, seen, by_zone).size();
+      seen = foresee(j, rooms, true);
+      auto more = choose(j.spec, tasks, seen, by_zone);
+      if (more.size() > soon) make_room(j, more, seen, clock.now);
+    }
+    if (choices.empty()) {
+      if (gang && !j.placed.empty()) let_go_if_stranded(j, clock.now);
+      continue;
+    }
+    j.stranded_since = -1;
+    // The leader may know machines with the image that other work of lower rank holds: it gets a moment to
+    // ask for them before a long fetch begins.
+    bool look_first = gang && j.spec.rank >= Rank::high && start > worth_looking_s && j.placed.empty() &&
+                      model_.settings.op.preempt && clock.now - j.first_seen < leader_looks_s;
+    if (gang && preempting && !look_first) make_room(j, choices, bins, clock.now);
+    left -= static_cast<double>(choices.size()) * j.spec.need;
+    std::vector<Choice> here;
+    for (const Choice& c : choices) {
+      bool there = !look_first && c.bin < rooms.real && fits(j.spec.need, rooms.bins[c.bin].room);
+      if (there) here.push_back(c);
+      bool held = there || (look_first && fits(j.spec.need, rooms.bins[c.bin].room));
+      (held ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
+    }
+    plan(ji, here, rooms.bins, planned);
+  }
+}
+
+}  // namespace oxbowmill
