--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -61,8 +61,10 @@
   Stamp known_revision_ = 0;                // highest that an own transaction got
   void malformed(const std::string& what);  // logged once per sender and kind
   std::set<std::string> bad_senders_;
-  std::unordered_map<std::string, double>
-      passing_on_;  // machines whose reports go on to their owner: since when
+  struct PassedOn {
+    double since = 0, last = 0;
+  };
+  std::unordered_map<std::string, PassedOn> passing_on_;  // machines whose reports went on to their owner
   Peers peers_;
   std::unique_ptr<net::HttpServer> server_;
 };
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -138,17 +138,23 @@
 void Node::pass_on(const std::string& machine, const std::string& owner, const net::Request& r) {
   // The worker knows its owner and has come here all the same: a cut between zones, it seems, that a node in
   // a third zone can bridge. Now and then it is sent to its owner again.
-  auto [since, fresh] = passing_on_.try_emplace(machine, now());
-  if (!fresh && now() - since->second > pass_on_s) {
-    passing_on_.erase(since);
-    r.responder->reply(421, wire::encode(wire::write_answer({ReportAnswer::Kind::redirect, owner, 0, {}})));
-    return;
+  double t = now();
+  auto known = passing_on_.find(machine);
+  if (known != passing_on_.end() && t - known->second.since > pass_on_s) {
+    // Not when it is long ago that the last one went through: this is another cut.
+    bool same_cut = t - known->second.last < pass_on_s;
+    passing_on_.erase(known);
+    if (same_cut) {
+      return r.responder->reply(
+          421, wire::encode(wire::write_answer({ReportAnswer::Kind::redirect, owner, 0, {}})));
+    }
   }
-  if (fresh) SPDLOG_INFO("machine {}: its reports are passed on to {}", machine, owner);
-  peers_.relay(owner, r.body, [this, machine, to = r.responder](const net::Response& answer) {
-    if (answer.status == 200) return to->reply(200, answer.body);
-    passing_on_.erase(machine);
-    to->reply(503, "", 1);
+  peers_.relay(owner, r.body, [this, machine, owner, to = r.responder](const net::Response& answer) {
+    if (answer.status != 200) return to->reply(503, "", 1);
+    auto [passed, fresh] = passing_on_.try_emplace(machine, PassedOn{now(), now()});
+    passed->second.last = now();
+    if (fresh) SPDLOG_INFO("machine {}: its reports are passed on to {}", machine, owner);
+    to->reply(200, answer.body);
   });
 }
 
