Idle machines of the pool before those that still boot, for all jobs; a large case counts records

Cause: a large case on the stand-ins (300 machines that show themselves, 300 jobs) ended with 100 machines returned while 100 jobs waited: rentals that were asked for passed for room before the pool's idle machines, for work below high rank. Change: up, pool and (for urgent work) drained machines first, then booting ones. Kept: the case fails without it.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -377,15 +377,15 @@
       }
       pool = std::move(rest);
     };
-    // Where renting is too slow for the job, machines that are still booting do not count as room for it.
+    // Machines that are up come before those that still boot, idle ones of the pool too: these would be
+    // returned while the job waits. For urgent work others' machines are drained.
     bool within = guaranteed.count(ji) != 0;
-    if (j.spec.rank >= Rank::high || within) {
-      std::vector<Bin> up, booting;
-      for (const Bin& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
-      bins = std::move(up);
-      take_with(model_.settings.op.preempt ? victims(j, within) : std::vector<Bin>{});
-      bins.insert(bins.end(), booting.begin(), booting.end());
-    }
+    bool urgent = model_.settings.op.preempt && (j.spec.rank >= Rank::high || within);
+    std::vector<Bin> up, booting;
+    for (const Bin& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
+    bins = std::move(up);
+    take_with(urgent ? victims(j, within) : std::vector<Bin>{});
+    bins.insert(bins.end(), booting.begin(), booting.end());
     if (!tasks.empty()) take(bins);
     if (!tasks.empty()) take_with({});
     // Room that others leave soon is cheaper than a machine that has yet to boot.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -382,6 +382,29 @@
   EXPECT_FALSE(c.state.keys().at("o/m/m1").value.at("del").get<bool>());
 }
 
+TEST(Fleet, LargeStartWritesOneRecordAMachineAndOneAJob) {
+  // The start of a day is what the state service's changes are scarcest for.
+  constexpr int size = 300;
+  Cluster c;
+  for (int i = 0; i < size; ++i) c.add_stranger("m" + std::to_string(i), i % 2 == 0 ? "a" : "b");
+  for (int i = 0; i < size; ++i) {
+    JobSpec s = gang("run-" + std::to_string(i), 1);
+    s.part = PartIndex{2};
+    c.submit(s);
+  }
+  c.node(0).sync(c.now);
+  std::size_t before = c.state.events().size();
+  c.run(25);
+  std::map<std::string, int> written;
+  for (std::size_t i = before; i < c.state.events().size(); ++i)
+    ++written[c.state.events()[i].key.substr(0, 4)];
+  EXPECT_EQ(c.log.starts.size(), static_cast<std::size_t>(size));
+  EXPECT_EQ(written["o/m/"], size);
+  EXPECT_EQ(written["o/c/"], size);
+  EXPECT_EQ(c.node(0).refused, 0);
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
 TEST(Fleet, ZoneOutOfReachIsNeitherRentedInNorCountedOn) {
   Cluster c;
   for (int i = 0; i < 5; ++i) {
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -138,6 +138,10 @@
   workers_[name] = std::make_unique<Worker>(name, zone, log, spot);
 }
 
+void Cluster::add_stranger(const std::string& name, const std::string& zone) {
+  workers_[name] = std::make_unique<Worker>(name, zone, log);
+}
+
 void Cluster::submit(JobSpec spec) {
   spec.submitted_at = now;
   Json value = state::job_value(spec, JobPhase::open, nodes_[0]->model.names);
--- a/tests/standins/cluster.h
+++ b/tests/standins/cluster.h
@@ -54,6 +54,8 @@
   Controller& node(std::size_t i) { return *nodes_.at(i); }
   void add_machine(const std::string& name, const std::string& zone = "a", const std::string& part = "red",
                    bool spot = false);
+  /// A machine that reports though nobody has a record of it.
+  void add_stranger(const std::string& name, const std::string& zone = "a");
   Worker& worker(const std::string& name) { return *workers_.at(name); }
   void submit(JobSpec spec);
   /// The user's withdrawal; the status of its transaction.
