--- a/include/oxbowmill/service/intake.h
+++ b/include/oxbowmill/service/intake.h
@@ -16,6 +16,8 @@
   void poll(const std::string& ref, const net::ResponderPtr& to);
   void withdraw(const std::string& ref, const net::ResponderPtr& to, int tries = 0);
   void note_final(const std::string& ref, JobPhase phase);
+  /// Calls back when the tables are as new as the state service at this moment; false: read there.
+  std::function<void(std::function<void(bool)>)> when_current;
   /// The tables are complete and the state service answers.
   std::function<bool()> ready;
   /// A job was accepted or cancelled at this revision: its owner should know soon.
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -131,16 +131,23 @@
   auto known = finals_.find(ref);
   if (known != finals_.end()) return answer_status(ref, known->second, to);
   if (overloaded(to)) return;
-  look_up(ref, [this, ref, to](const Found& f) {
-    switch (f.kind) {
-      case Found::Kind::live:
-      case Found::Kind::final:
-        return answer_status(ref, f.phase, to);
-      case Found::Kind::none:
-        return reject(to, 404, "no such job");
-      case Found::Kind::unknown:
-        return refuse(to);
-    }
+  // A read each would take the state service's whole request limit at a thousand live jobs; the tables serve
+  // as well once they are known to be as new as the poll. Only what is not live there is read.
+  when_current([this, ref, to](bool current) {
+    const Job* j = current ? model_.live_job(model_.find_job(ref)) : nullptr;
+    if (j != nullptr) return answer_status(ref, j->phase, to);
+    if (overloaded(to)) return;
+    look_up(ref, [this, ref, to](const Found& f) {
+      switch (f.kind) {
+        case Found::Kind::live:
+        case Found::Kind::final:
+          return answer_status(ref, f.phase, to);
+        case Found::Kind::none:
+          return reject(to, 404, "no such job");
+        case Found::Kind::unknown:
+          return refuse(to);
+      }
+    });
   });
 }
 
--- a/src/service/mirror.cpp
+++ b/src/service/mirror.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cmath>
+
 namespace oxbowmill::service {
 
 using state::StoreAnswer;
@@ -15,6 +17,11 @@
 // A node that owns nothing only has to know who does: were each to follow every change at once, watching
 // would take the room of placements as controllers are added, and most of a small node's processor.
 constexpr double idle_spacing_s = 0.6;
+// Readers wait for the tables no longer than for a call of their own.
+constexpr double reader_wait_s = 0.8;
+constexpr double read_memory_s = 2;
+constexpr double often = 8;  // reads remembered from which on watches answer at once and carry them
+constexpr double reading_spacing_s = 0.3;
 }  // namespace
 
 Mirror::Mirror(event_base* base, state::Store& store, Model& model, Scheduler& scheduler, Hold& hold,
@@ -30,7 +37,8 @@
         } else {
           start();
         }
-      }) {}
+      }),
+      reader_timer_(base, [this] { give_up_readers(); }) {}
 
 void Mirror::start() {
   set_state(SyncState::listing);
@@ -81,9 +89,51 @@
   watch();
 }
 
+bool Mirror::read_often() const {
+  return reads_ * std::exp((reads_at_ - now_()) / read_memory_s) >= often;
+}
+
+void Mirror::when_current(std::function<void(bool)> fn) {
+  double now = now_();
+  reads_ = reads_ * std::exp((reads_at_ - now) / read_memory_s) + 1;
+  reads_at_ = now;
+  // A watch that was open before the reader came speaks for an earlier moment, and one that is held open may
+  // say so only much later.
+  bool stuck = !riding_.empty() && now - last_watch_ > reader_wait_s / 2;
+  if (state_ != SyncState::live || held_open_ || stuck || !read_often()) return fn(false);
+  waiting_.push_back({std::move(fn), now});
+  if (!reader_timer_.pending()) reader_timer_.after(reader_wait_s);
+}
+
+void Mirror::give_up_readers() {
+  double now = now_();
+  std::vector<std::function<void(bool)>> late;
+  for (auto* q : {&riding_, &waiting_}) {
+    while (!q->empty() && now - q->front().since >= reader_wait_s) {
+      late.push_back(std::move(q->front().fn));
+      q->pop_front();
+    }
+  }
+  if (!riding_.empty() || !waiting_.empty()) {
+    double since = riding_.empty() ? waiting_.front().since : riding_.front().since;
+    reader_timer_.after(std::max(0.001, since + reader_wait_s - now));
+  }
+  for (auto& fn : late) fn(false);
+}
+
 void Mirror::watch() {
   last_watch_ = now_();
-  store_.watch(state::live_prefix, revision_, watch_hold_s, [this](const StoreAnswer& a) {
+  held_open_ = !read_often();
+  for (Reader& r : waiting_) riding_.push_back(std::move(r));
+  waiting_.clear();
+  store_.watch(state::live_prefix, revision_, held_open_ ? watch_hold_s : 0, [this](const StoreAnswer& a) {
+    held_open_ = false;
+    std::deque<Reader> readers = std::move(riding_);
+    riding_.clear();
+    auto answer = [&readers](bool current) {
+      for (Reader& r : readers) r.fn(current);
+    };
+    if (a.status != 200) answer(false);
     if (a.status == 410) {
       start();
       return;
@@ -115,9 +165,12 @@
     for (auto it = removed_.begin(); it != removed_.end();) {
       it = it->second <= revision_ ? removed_.erase(it) : std::next(it);
     }
+    answer(true);
     if (any && on_change) on_change();
     double since = now_() - last_watch_;
-    double spacing = scheduler_.owns_any() ? watch_spacing_s : idle_spacing_s;
+    double spacing = scheduler_.owns_any()  ? watch_spacing_s
+                     : read_often()         ? reading_spacing_s
+                                            : idle_spacing_s;
     if (since >= spacing) {
       watch();
     } else {
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -57,6 +57,7 @@
     peers_.tell();
   };
   intake_.ready = [this] { return ready(); };
+  intake_.when_current = [this](std::function<void(bool)> fn) { mirror_.when_current(std::move(fn)); };
   mirror_.on_catalog = [this](const Json& j) {
     catalog_stored_ = true;
     take_catalog(j, false);
