Done marks that nobody waits for are written together; room is free from the proof on

A done task's result is kept, so a lost mark costs no work. Ruled out: machine records (a fifth), placements in pieces.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -20,6 +20,10 @@
   gone,      // proved to be off its machine; the removal is not durable yet
 };
 const char* name_of(PlacementState s);
+/// The task is proved to be off its machine; only the record of that may be missing.
+inline bool is_off(PlacementState s) {
+  return s == PlacementState::finished || s == PlacementState::gone;
+}
 
 struct Placement {
   TaskNo task = 0;
@@ -60,6 +64,8 @@
   // Owner's working state.
   bool writing = false;
   Seconds write_after = 0;  // back-off after a refused or unanswered transaction
+  Seconds marks_due = -1;   // done marks that may wait are written by then; below 0: none waits
+  bool marks_now = false;   // somebody needs them: they wait no longer
   Seconds place_after = 0;  // back-off after errors
   std::uint32_t errors = 0;
   Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
@@ -176,6 +182,8 @@
   void apply_chunk(const ChunkKey& key, const ChunkRecord* rec, Stamp stamp, Seconds now);
   void apply_machine(MachineIndex m, const MachineRecord* rec, Stamp stamp, Seconds now);
   void add_placement(Job& j, const PlacedTask& p, JobIndex index, Seconds now);
+  /// Room and quota that a task takes up, from its placement until it is proved to be off.
+  void occupy(const Job& j, const Placement& p, int sign);
   void remove_placement(Job& j, std::map<TaskNo, Placement>::iterator it, Seconds now);
   void drop_if_empty(JobIndex j);
   /// How much of a machine one task takes up, on the allowed type that holds most of them.
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -146,6 +146,10 @@
   void plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
             std::map<JobIndex, std::vector<PlacedTask>>& planned);
   void write_job(JobIndex ji, const std::vector<PlacedTask>& planned, Seconds now, Effects& out);
+  /// Nothing but done marks (or what is left of a job that is over) is to be written, and nobody needs them.
+  bool marks_may_wait(JobIndex ji, Seconds now);
+  /// Marks of tasks that have ended on this machine wait no longer.
+  void need_marks(MachineIndex mi);
   void direct_kills(Effects& out);
   std::vector<Bin> bins_of(PartIndex part, Seconds now) const;
   Attempt next_attempt(PartIndex part) { return (model_.claim(part).stamp << 24) | ++attempts_; }
@@ -158,6 +162,9 @@
   std::uint64_t attempts_ = 0;
   Effects later_;  // what outcomes bring about between passes
   std::map<std::uint64_t, Pending> pending_;
+  std::set<std::pair<Seconds, JobIndex>> marks_due_;
+  double changes_ = 0;  // written of late, decaying
+  Seconds passed_at_ = 0;
   std::map<std::uint32_t, Stamp> term_;  // by part: the claim we last prepared for
   struct ZoneSight {
     Seconds dark_until = -1e9;         // by what this node sees
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -32,6 +32,7 @@
   bool use_spot = true;
   bool preempt = true;
   double cloud_list_s = 4;
+  double mark_delay_s = 20;  // while changes are many, done marks that nobody waits for wait so long
   double pass_interval_s = 0.05;
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -104,6 +104,7 @@
       {"boot_patience", {&O::boot_patience, 1, 100}},
       {"refusal_pause_s", {&O::refusal_pause_s, 0, 3600}},
       {"cloud_list_s", {&O::cloud_list_s, 1, 600}},
+      {"mark_delay_s", {&O::mark_delay_s, 0, 600}},
       {"pass_interval_s", {&O::pass_interval_s, 0.01, 1}},
   };
   return keys;
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -113,13 +113,15 @@
   if (p.state == s) return;
   SPDLOG_DEBUG("task {}/{} on {} try {}: {} -> {}", job(p.job).spec.ref, p.task,
                names.machines.name(p.machine), p.attempt, name_of(p.state), name_of(s));
+  // The room is free from the proof on: the record may follow when it is convenient.
+  if (is_off(s) != is_off(p.state)) occupy(job(p.job), p, is_off(s) ? -1 : 1);
   p.state = s;
   if (s == PlacementState::stopping) {
     p.stop_since = now;
     kick.insert(p.machine);
   }
   if (s == PlacementState::sent && p.started_at <= 0) p.started_at = now;
-  if (s == PlacementState::finished || s == PlacementState::gone) dirty.insert(p.job);
+  if (is_off(s)) dirty.insert(p.job);
 }
 
 void Model::set_state(MachineIndex i, MachineState s, Seconds now) {
@@ -172,26 +174,29 @@
   Machine& m = machine(t.machine);
   m.on.push_back({index, t.task});
   m.up = true;
-  m.used += j.spec.need;
+  occupy(j, p, 1);
   image_used(m, j.spec);
-  if (j.spec.part.valid()) team_use_[j.spec.part.v] += j.spec.need;
   if (j.phase == JobPhase::cancelled) set_state(j.placed.at(t.task), PlacementState::stopping, now);
 }
 
+void Model::occupy(const Job& j, const Placement& p, int sign) {
+  machine(p.machine).used += sign * j.spec.need;
+  if (j.spec.part.valid()) team_use_[j.spec.part.v] += sign * j.spec.need;
+  if (sign < 0) freed_ += j.share;
+}
+
 void Model::remove_placement(Job& j, std::map<TaskNo, Placement>::iterator it, Seconds now) {
   Machine& m = machine(it->second.machine);
   JobIndex index = it->second.job;
   TaskNo task = it->first;
+  if (!is_off(it->second.state)) occupy(j, it->second, -1);
   m.on.erase(std::remove_if(m.on.begin(), m.on.end(),
                             [&](const TaskId& id) { return id.job == index && id.task == task; }),
              m.on.end());
-  m.used -= j.spec.need;
-  freed_ += j.share;
   if (m.on.empty()) {
     m.used = {};  // sums of decimals must not drift
     m.idle_since = now;
   }
-  if (j.spec.part.valid()) team_use_[j.spec.part.v] -= j.spec.need;
   j.placed.erase(it);
 }
 
@@ -239,9 +244,8 @@
     }
     for (auto& [t, p] : j.placed) {
       if (t < j.spec.tasks) j.busy[t / 64] |= 1ULL << (t % 64);
-      machine(p.machine).used += j.spec.need;
+      if (!is_off(p.state)) occupy(j, p, 1);
       image_used(machine(p.machine), j.spec);
-      team_use_[j.spec.part.v] += j.spec.need;
     }
     j.first_seen = now;
     j.share = share_of_machine(j.spec);
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -14,9 +14,9 @@
 constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
 constexpr double leader_looks_s = 0.7;
 
+/// It still takes up its room, but not for long. (What is off already has left it.)
 bool is_leaving(const Placement& p) {
-  return p.state == PlacementState::stopping || p.state == PlacementState::gone ||
-         p.state == PlacementState::finished;
+  return p.state == PlacementState::stopping;
 }
 
 }  // namespace
@@ -86,7 +86,8 @@
     if (fits(j.spec.need, b.room) || !preempting) continue;
     for (TaskId id : model_.machine(b.machine).on) {
       const Job& victim = model_.job(id.job);
-      if (!may_make_room(victim, j) || is_leaving(*model_.find_placement(id))) continue;
+      const Placement& p = *model_.find_placement(id);
+      if (!may_make_room(victim, j) || is_leaving(p) || is_off(p.state)) continue;
       b.room += victim.spec.need;
       b.wait_s = std::max(b.wait_s, leave_s + victim.spec.flush_s);
       b.cost = 2;
@@ -111,7 +112,7 @@
       if (fits(need, free)) break;
       Placement& p = *model_.find_placement(id);
       Job& victim = model_.job(id.job);
-      if (!may_make_room(victim, j) || is_leaving(p)) continue;
+      if (!may_make_room(victim, j) || is_leaving(p) || is_off(p.state)) continue;
       free += victim.spec.need;
       SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
       stop(p, victim.spec.flush_s, now);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "oxbowmill/core/slow_tasks.h"
@@ -11,6 +12,8 @@
 
 namespace {
 const std::vector<PlacedTask> nothing_planned;
+constexpr double changes_memory_s = 5;
+constexpr double busy_share = 0.15;  // of the changes a second, from which on an owner collects done marks
 constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
 }  // namespace
@@ -36,6 +39,7 @@
                       const std::vector<MachineIndex>& machines, std::vector<Ring> rings) {
   for (MachineIndex m : machines) model_.machine(m).writing = true;
   std::uint64_t id = ++next_write_;
+  changes_ += static_cast<double>(txn.changes.size());
   pending_[id] = {txn, urgency, JobIndex{}, machines, {}, {}, std::move(rings), {}, 0, 0};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
@@ -46,6 +50,7 @@
   j.writing = true;
   for (const PlacedTask& t : planned) model_.reserve(t.machine, j.spec, 1);
   std::uint64_t id = ++next_write_;
+  changes_ += static_cast<double>(txn.changes.size());
   pending_[id] = {txn, urgency, job, {}, std::move(planned), std::move(released), {}, j.spec, 0, 0};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
@@ -221,10 +226,14 @@
       p.taken_over = false;  // placed by an earlier owner, never started: it may be started now
     }
   }
+  bool all_off = !m.on.empty();
   for (TaskId id : on) {
     Job& j = model_.job(id.job);
     if (j.spec.shape == Shape::gang) check_gang(j, now);
   }
+  for (TaskId id : m.on) all_off = all_off && is_off(model_.find_placement(id)->state);
+  // Only an empty machine can be handed over or given back.
+  if (all_off) need_marks(mi);
 }
 
 void Scheduler::task_ended(Placement& p, const TaskReport& t, Machine& m, Seconds now) {
@@ -432,6 +441,37 @@
   }
 }
 
+bool Scheduler::marks_may_wait(JobIndex ji, Seconds now) {
+  // A done task's result is kept, so that a mark which is lost costs no work: it is done again as soon as it
+  // has its image. A mark for each end took most of the state service's changes. What a waiting task, a
+  // machine that could be given back or the job's end depends on is written at once.
+  Job& j = model_.job(ji);
+  std::size_t off = 0, done = 0;
+  for (const auto& [t, p] : j.placed) {
+    if (p.want_restart && !p.restarting) return false;
+    off += is_off(p.state) ? 1 : 0;
+    done += p.state == PlacementState::finished ? 1 : 0;
+  }
+  bool may = j.final_phase() ? off < j.placed.size()
+                             : off == done && j.done + done < j.spec.tasks && j.spec.shape == Shape::array;
+  if (off == 0 || !may || j.marks_now) return false;
+  if (j.marks_due < 0) {
+    bool busy = changes_ > busy_share * model_.settings.state_write_rps * changes_memory_s;
+    if (!busy) return false;
+    j.marks_due = now + model_.settings.op.mark_delay_s;
+    marks_due_.emplace(j.marks_due, ji);
+  }
+  return now < j.marks_due;
+}
+
+void Scheduler::need_marks(MachineIndex mi) {
+  for (TaskId id : model_.machine(mi).on) {
+    if (!is_off(model_.find_placement(id)->state)) continue;
+    model_.job(id.job).marks_now = true;
+    model_.dirty.insert(id.job);
+  }
+}
+
 void Scheduler::write_job(JobIndex ji, const std::vector<PlacedTask>& planned, Seconds now, Effects& out) {
   Job& j = model_.job(ji);
   if (j.writing || now < j.write_after || j.stamp == 0) return;
@@ -449,17 +489,22 @@
   bool finishing = false;
   std::vector<PlacedTask> written;
   std::vector<Released> released;
+  bool plans = !planned.empty() && j.phase == JobPhase::open;
+  if (!plans && marks_may_wait(ji, now)) return;
+  j.marks_due = -1;
+  j.marks_now = false;
+  std::size_t off = 0;
   for (auto& [t, p] : j.placed) {
     if (p.state != PlacementState::seen) p.want_restart = false;
-    bool changed = p.state == PlacementState::finished || p.state == PlacementState::gone ||
-                   (p.want_restart && !p.restarting);
+    bool changed = is_off(p.state) || (p.want_restart && !p.restarting);
     if (changed && touch(t)) news = true;
     finishing = finishing || p.state == PlacementState::finished;
+    off += is_off(p.state) ? 1 : 0;
   }
   for (const PlacedTask& t : planned) {
     if (j.phase == JobPhase::open && touch(t.task)) news = true;
   }
-  bool cleanup = j.final_phase() && j.placed.empty();
+  bool cleanup = j.final_phase() && off == j.placed.size();
   if (!news && !cleanup) return;
   Transaction txn;
   txn.guards = {claim_guard(part), {JobKey{ji}, j.stamp}};
@@ -515,7 +560,7 @@
       txn.changes.push_back({FinalKey{ji}, phase});
     } else if (all_done) {
       txn.changes.push_back({JobKey{ji}, JobRecord{j.spec, phase}});
-    } else {
+    } else if (j.placed.empty()) {
       for (const auto& [c, chunk] : j.chunks) {
         if (txn.changes.size() + 1 >= model_.settings.txn_ops) break;
         txn.changes.push_back({ChunkKey{ji, c}, {}});
@@ -566,7 +611,12 @@
     if (m.state != MachineState::ready || !owns(m.rec.part) || m.address.empty()) continue;
     // A worker counts a higher token as news once in half a lease; where it reports soon anyway, it need not.
     Seconds next_report = m.last_answered + s.report_s - now;
-    if (next_report < ring_saves_s || now - m.rung_at < s.lease_s / 2) continue;
+    if (next_report < ring_saves_s) continue;
+    if (now - m.rung_at < s.lease_s / 2) {
+      // The clearing of an ended task makes it report as well.
+      need_marks(mi);
+      continue;
+    }
     // The transaction was guarded by our claim and the machine's record, so every later authority over the
     // machine has a higher token than this revision.
     m.placed_at = std::max(m.placed_at, revision);
@@ -579,6 +629,8 @@
   if (hold_.authority(clock.now) != Authority::full || !model_.catalog_known()) return;
   notice_takeovers(clock.now);
   settle_pending(clock.now, out);
+  changes_ *= std::exp((passed_at_ - clock.now) / changes_memory_s);
+  passed_at_ = clock.now;
   bool check_machines = clock.now >= next_machine_check_;
   bool check_slow = clock.now >= next_slow_check_;
   if (check_machines) next_machine_check_ = clock.now + 0.2;
@@ -598,6 +650,11 @@
     if (check_slow) find_slow(part, clock.now);
     place(part, clock, check_machines, planned);
   }
+  while (!marks_due_.empty() && marks_due_.begin()->first <= clock.now) {
+    if (model_.live_job(marks_due_.begin()->second) != nullptr)
+      model_.dirty.insert(marks_due_.begin()->second);
+    marks_due_.erase(marks_due_.begin());
+  }
   auto dirty = std::move(model_.dirty);
   model_.dirty.clear();
   for (JobIndex ji : dirty) {
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -288,6 +288,7 @@
       s.body["apply"].push_back(std::move(op));
       s.changes.emplace_back(std::move(key), c);
     }
+    SPDLOG_DEBUG("transaction {}: {}", w.id, s.body["apply"].dump());
   }
   store_.txn(s.body, w.urgency, [this, id = w.id](const StoreAnswer& a) {
     auto sent = sent_.find(id);
