--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -52,8 +52,11 @@
   void rent_for(const JobSpec& spec, std::uint32_t tasks, PartIndex part, Clock clock,
                 std::vector<Bin>& bins);
   void return_machines(Clock clock, Effects& out);
-  /// Refused lately, or a request for it is under way.
-  bool closed(const Kind& k, Seconds now) const;
+  bool refused(const Kind& k, Seconds now) const;
+  /// A request for it is under way.
+  bool asked_for(const Kind& k) const;
+  /// The job may have cheap machines, and the cloud has not refused them of late.
+  bool cheap_to_be_had(const JobSpec& spec, Seconds now) const;
 
   Model& model_;
   Scheduler& scheduler_;
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -109,6 +109,7 @@
   std::uint32_t errors = 0;
   std::string address;
   Amounts used;
+  std::uint32_t lasting = 0;  // services' tasks among those that take up room
   std::vector<TaskId> on;
   Amounts reserved;
   std::uint32_t reservations = 0;
--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -20,11 +20,19 @@
   Amounts room;
   int cost = 0;         // what taking it costs beyond the room: 0 own, 1 idle elsewhere, 2 others' work stops
   Seconds start_s = 0;  // until a task of the job in question could run: the wait and its image's fetch
+  bool lasting = false;  // services run there
+  Seconds spoils_s = 0;  // what the place costs others, in seconds that the job in question gives up for it
+  bool shut = false;     // not for the job in question
 };
 
+/// The job fills machines with others' tasks beside its own, and ends by itself; cheap machines will do.
+bool fills_cheaply(const JobSpec& spec, const MachineType& type);
+/// Nothing is on it, as far as its room tells.
+bool is_whole(const Bin& b, const MachineType& type);
+
 /// How long a machine of this type takes to fetch the job's image.
 Seconds fetch_time(const JobSpec& spec, const MachineType& type);
-/// Fills in `start_s` for this job.
+/// Fills in `start_s` and `spoils_s` for this job.
 void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins);
 /// When the last of the chosen tasks could run.
 Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins);
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -79,6 +79,8 @@
   Stamp seen_revision() const { return seen_; }
   bool owns(PartIndex p) const;
   bool owns_any() const;
+  /// Some gang of the part takes machines whole.
+  bool needs_whole_machines(PartIndex part) const;
   bool leads() const { return owns(pool_part); }
   Guard claim_guard(PartIndex p) const;
   /// Most machines of the zone that should report here have not for a while, or another owner says so: what
@@ -142,6 +144,9 @@
   void find_slow(PartIndex part, Seconds now);
   void place(PartIndex part, Clock clock, bool thorough,
              std::map<JobIndex, std::vector<PlacedTask>>& planned);
+  /// Those of the tasks that need not wait for cheap machines; whole ordinary ones are shut to them.
+  std::vector<TaskNo> leave_whole_ones(const Job& j, Rooms& rooms, std::vector<Bin>& bins,
+                                       std::vector<TaskNo> tasks, Seconds now) const;
   void let_go_if_stranded(Job& j, Seconds now);
   void plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
             std::map<JobIndex, std::vector<PlacedTask>>& planned);
--- a/include/oxbowmill/service/mirror.h
+++ b/include/oxbowmill/service/mirror.h
@@ -54,8 +54,8 @@
     std::function<void(bool)> fn;
     double since = 0;
   };
-  std::deque<Reader> waiting_;  // for the next watch to be opened
-  std::deque<Reader> riding_;   // on the one that is open
+  std::deque<Reader> waiting_;       // for the next watch to be opened
+  std::deque<Reader> riding_;        // on the one that is open
   double reads_ = 0, reads_at_ = 0;  // of late, decaying
   bool held_open_ = false;           // the open watch may wait for news
   net::Timer reader_timer_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -142,9 +142,25 @@
   }
 }
 
-bool Fleet::closed(const Kind& k, Seconds now) const {
+bool Fleet::refused(const Kind& k, Seconds now) const {
   auto it = refusals_.find(k);
-  if (it != refusals_.end() && it->second.until > now) return true;
+  return it != refusals_.end() && it->second.until > now;
+}
+
+bool Fleet::cheap_to_be_had(const JobSpec& spec, Seconds now) const {
+  if (!spec.spot || !model_.settings.op.use_spot) return false;
+  for (std::uint32_t t = 0; t < model_.catalog.size(); ++t) {
+    if (!fills_cheaply(spec, model_.catalog[t])) continue;
+    for (ZoneIndex z : model_.catalog[t].zones) {
+      if (allowed_on(spec, TypeIndex{t}, z, true) && !scheduler_.dark(z, now) &&
+          !refused({TypeIndex{t}, z, true}, now))
+        return true;
+    }
+  }
+  return false;
+}
+
+bool Fleet::asked_for(const Kind& k) const {
   return std::any_of(rents_.begin(), rents_.end(), [&k](const auto& r) {
     const RentOrder& o = r.second.order;
     return o.type == k.type && o.zone == k.zone && o.spot == k.spot;
@@ -229,6 +245,7 @@
       if (m.rec.wanted_by.valid() ? m.rec.wanted_by != part : PartIndex{p} != part) continue;
       Amounts room = m.rec.wanted_by.valid() ? model_.catalog[m.rec.type.v].room : model_.room(m);
       add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room, now - m.known_since);
+      bins.back().lasting = m.lasting > 0;
     }
   }
   for (const auto& [name, a] : adopt_) {
@@ -347,8 +364,13 @@
     if (tasks.empty()) continue;
     left[part.v] -= static_cast<double>(tasks.size()) * j.spec.need;
     auto by_zone = tasks_by_zone(model_, j);
+    bool spare_whole = scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
     auto take = [&](std::vector<Bin>& from) {
       see_as(j.spec, model_, from);
+      for (Bin& b : from) {
+        const MachineType& type = model_.catalog[b.type.v];
+        b.shut = spare_whole && !b.spot && fills_cheaply(j.spec, type) && is_whole(b, type);
+      }
       auto fit = choose(j.spec, tasks, from, by_zone);
       for (const Choice& c : fit) ++by_zone[from[c.bin].zone.v];
       tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(fit.size()));
@@ -392,7 +414,8 @@
     if (tasks.empty()) continue;
     leaves -= static_cast<double>(tasks.size()) * j.share;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
-    if (patient || leaves < 0) rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
+    if (patient || leaves < 0 || spare_whole)
+      rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
   }
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
@@ -427,7 +450,7 @@
           return r.type == kind.type && r.zone == z && r.spot == spot && r.count >= most_per_request;
         });
         if (full) continue;
-        if (!allowed_on(spec, kind.type, z, spot) || closed(kind, clock.now)) continue;
+        if (!allowed_on(spec, kind.type, z, spot) || refused(kind, clock.now)) continue;
         double price = (spot ? type.spot_price : type.price) / std::min<double>(per, tasks);
         offers.push_back({price, have, kind, per});
       }
@@ -438,6 +461,8 @@
   });
   if (offers.empty()) return;
   const Offer& o = offers.front();
+  // A dearer kind is not taken only because a request for the cheapest is under way.
+  if (asked_for(o.kind)) return;
   std::uint32_t count =
       (tasks + static_cast<std::uint32_t>(o.per_machine) - 1) / static_cast<std::uint32_t>(o.per_machine);
   auto same = std::find_if(asking_.begin(), asking_.end(), [&](const RentOrder& r) {
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -135,6 +135,7 @@
     Machine fresh;
     fresh.on = m.on;
     fresh.used = m.used;
+    fresh.lasting = m.lasting;
     fresh.reserved = m.reserved;
     fresh.reservations = m.reservations;
     m = fresh;
@@ -180,7 +181,9 @@
 }
 
 void Model::occupy(const Job& j, const Placement& p, int sign) {
-  machine(p.machine).used += sign * j.spec.need;
+  Machine& m = machine(p.machine);
+  m.used += sign * j.spec.need;
+  if (j.spec.shape == Shape::service) m.lasting += static_cast<std::uint32_t>(sign);
   if (j.spec.part.valid()) team_use_[j.spec.part.v] += sign * j.spec.need;
   if (sign < 0) freed_ += j.share;
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -32,10 +32,39 @@
   return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
 }
 
+bool is_whole(const Bin& b, const MachineType& type) {
+  return fits(type.room, b.room);
+}
+
+bool fills_cheaply(const JobSpec& spec, const MachineType& type) {
+  return spec.shape == Shape::array && spec.spot && how_many_fit(spec.need, type.room) > 1;
+}
+
+namespace {
+
+// Machines shared by short and lasting work are never empty again for a gang or for the cloud, and whole
+// ordinary ones are what gangs wait for. Below a fetch of a middling image, so that a task still goes where
+// its image is.
+constexpr Seconds lasting_on_whole_s = 6, lasting_on_mixed_s = 3;
+constexpr Seconds short_on_whole_s = 8, short_on_lasting_s = 4, short_on_mixed_s = 2,
+                  short_on_cheap_whole_s = 1;
+
+Seconds spoils(const JobSpec& spec, const MachineType& type, const Bin& b) {
+  if (how_many_fit(spec.need, type.room) <= 1) return 0;
+  bool whole = is_whole(b, type);
+  if (spec.shape == Shape::service) return b.lasting ? 0 : whole ? lasting_on_whole_s : lasting_on_mixed_s;
+  if (b.spot) return whole ? short_on_cheap_whole_s : 0;
+  return b.lasting ? short_on_lasting_s : whole ? short_on_whole_s : short_on_mixed_s;
+}
+
+}  // namespace
+
 void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins) {
   for (Bin& b : bins) {
     bool there = b.machine.valid() && Model::has_image(model.machine(b.machine), spec.image);
-    b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, model.catalog[b.type.v]));
+    const MachineType& type = model.catalog[b.type.v];
+    b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, type));
+    b.spoils_s = spoils(spec, type, b);
   }
 }
 
@@ -47,17 +76,19 @@
 
 namespace {
 
-/// Bins that can take a task, best first: soonest start, then cheap kind, then least room.
+/// Bins that can take a task, best first: soonest start, with what it spoils, then cheap kind, then least
+/// room.
 std::vector<std::size_t> candidates(const JobSpec& spec, const std::vector<Bin>& bins, ZoneIndex only) {
   std::vector<std::size_t> out;
   for (std::size_t i = 0; i < bins.size(); ++i) {
     const Bin& b = bins[i];
-    if (only.valid() && b.zone != only) continue;
+    if (b.shut || (only.valid() && b.zone != only)) continue;
     if (allowed_on(spec, b.type, b.zone, b.spot) && fits(spec.need, b.room)) out.push_back(i);
   }
   std::stable_sort(out.begin(), out.end(), [&bins](std::size_t x, std::size_t y) {
     const Bin &a = bins[x], &b = bins[y];
-    if (a.start_s != b.start_s) return a.start_s < b.start_s;
+    Seconds start_a = a.start_s + a.spoils_s, start_b = b.start_s + b.spoils_s;
+    if (start_a != start_b) return start_a < start_b;
     if (a.cost != b.cost) return a.cost < b.cost;
     if (a.spot != b.spot) return a.spot;
     if (a.room.gpus != b.room.gpus) return a.room.gpus < b.room.gpus;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -34,6 +34,7 @@
         m.state == MachineState::ready && now - m.last_answered < 2.5 * model_.settings.report_s + 1;
     if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
     bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
+    bins.back().lasting = m.lasting > 0;
   }
   return bins;
 }
@@ -148,6 +149,50 @@
   for (auto& [t, p] : j.placed) stop(p, 0, now);
 }
 
+bool Scheduler::needs_whole_machines(PartIndex part) const {
+  const auto& live = model_.live_jobs(part);
+  return std::any_of(live.begin(), live.end(), [this](JobIndex ji) {
+    const Job& j = model_.job(ji);
+    return j.spec.shape == Shape::gang && j.share > 0.5;
+  });
+}
+
+std::vector<TaskNo> Scheduler::leave_whole_ones(const Job& j, Rooms& rooms, std::vector<Bin>& bins,
+                                                std::vector<TaskNo> tasks, Seconds now) const {
+  // Gangs wait for whole ordinary machines, and each short task on one keeps them from it. Work that may run
+  // on cheap machines leaves them alone while cheap ones are asked for or on their way.
+  if (j.spec.shape != Shape::array || !j.spec.spot) return tasks;
+  auto cheap_will_do = [&](const Bin& b) { return fills_cheaply(j.spec, model_.catalog[b.type.v]); };
+  std::size_t elsewhere = 0, coming = 0;
+  for (std::size_t i = 0; i < bins.size(); ++i) {
+    Bin& b = bins[i];
+    if (!allowed_on(j.spec, b.type, b.zone, b.spot) || !cheap_will_do(b)) continue;
+    if (i >= rooms.real) {
+      if (b.spot) coming += static_cast<std::size_t>(how_many_fit(j.spec.need, rooms.leaving[i]));
+      continue;
+    }
+    b.shut = !b.spot && is_whole(b, model_.catalog[b.type.v]);
+    if (!b.shut) elsewhere += static_cast<std::size_t>(how_many_fit(j.spec.need, b.room));
+  }
+  if (tasks.size() <= elsewhere) return tasks;
+  if (now - j.first_seen >= model_.settings.op.rent_patience_s && tasks.size() > elsewhere + coming) {
+    // More than comes: what is left over may have the whole ones.
+    for (Bin& b : bins) b.shut = false;
+    return tasks;
+  }
+  // The rest waits for what comes, and those behind it see that room as taken.
+  std::size_t rest = tasks.size() - elsewhere;
+  for (std::size_t i = rooms.real; i < bins.size() && rest > 0; ++i) {
+    if (!bins[i].spot || !allowed_on(j.spec, bins[i].type, bins[i].zone, true)) continue;
+    while (rest > 0 && fits(j.spec.need, rooms.leaving[i])) {
+      rooms.leaving[i] -= j.spec.need;
+      --rest;
+    }
+  }
+  tasks.resize(elsewhere);
+  return tasks;
+}
+
 void Scheduler::place(PartIndex part, Clock clock, bool thorough,
                       std::map<JobIndex, std::vector<PlacedTask>>& planned) {
   auto order = waiting_order(model_, part, clock);
@@ -157,6 +202,7 @@
   auto quota = [](double most, double used) { return most > 0 ? most - used : 1e12; };
   Amounts use = model_.team_use(part);  // all that is possibly on a machine, with what is being written
   Amounts left{quota(team.most.cpus, use.cpus), quota(team.most.gpus, use.gpus), 1e12};
+  bool spare_whole = needs_whole_machines(part);
   for (JobIndex ji : order) {
     Job& j = model_.job(ji);
     if (j.writing || clock.now < j.write_after || clock.now < j.place_after) continue;
@@ -169,6 +215,8 @@
     bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
     std::vector<Bin> bins = rooms.bins;
     see_as(j.spec, model_, bins);
+    if (spare_whole) tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
+    if (tasks.empty()) continue;
     auto choices = choose(j.spec, tasks, bins, by_zone);
     Seconds start = last_start(choices, bins);
     // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
@@ -208,6 +256,7 @@
       if (there) here.push_back(c);
       bool held = there || (look_first && fits(j.spec.need, rooms.bins[c.bin].room));
       (held ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
+      if (there && j.spec.shape == Shape::service) rooms.bins[c.bin].lasting = true;
     }
     plan(ji, here, rooms.bins, planned);
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -14,7 +14,7 @@
 const std::vector<PlacedTask> nothing_planned;
 constexpr double changes_memory_s = 5;
 constexpr double busy_share = 0.15;  // of the changes a second, from which on an owner collects done marks
-constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
+constexpr double ring_saves_s = 1;   // a worker is asked to report at once when that saves so much
 
 }  // namespace
 
--- a/src/service/mirror.cpp
+++ b/src/service/mirror.cpp
@@ -31,13 +31,14 @@
       scheduler_(scheduler),
       hold_(hold),
       now_(std::move(now)),
-      retry_(base, [this] {
-        if (state_ == SyncState::live) {
-          watch();
-        } else {
-          start();
-        }
-      }),
+      retry_(base,
+             [this] {
+               if (state_ == SyncState::live) {
+                 watch();
+               } else {
+                 start();
+               }
+             }),
       reader_timer_(base, [this] { give_up_readers(); }) {}
 
 void Mirror::start() {
@@ -168,9 +169,9 @@
     answer(true);
     if (any && on_change) on_change();
     double since = now_() - last_watch_;
-    double spacing = scheduler_.owns_any()  ? watch_spacing_s
-                     : read_often()         ? reading_spacing_s
-                                            : idle_spacing_s;
+    double spacing = scheduler_.owns_any() ? watch_spacing_s
+                     : read_often()        ? reading_spacing_s
+                                           : idle_spacing_s;
     if (since >= spacing) {
       watch();
     } else {
