--- a/include/oxbowmill/core/types.h
+++ b/include/oxbowmill/core/types.h
@@ -141,6 +141,7 @@
 };
 
 const char* name_of(JobPhase p);
+const char* name_of(Shape s);
 const char* name_of(EndCause c);
 
 }  // namespace oxbowmill
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -253,7 +253,7 @@
     j.first_seen = now;
     j.share = share_of_machine(j.spec);
     live_[j.spec.part.v].insert(index);
-    SPDLOG_INFO("job {}: known, {} tasks", j.spec.ref, j.spec.tasks);
+    SPDLOG_INFO("job {}: known, {} of {} tasks", j.spec.ref, name_of(j.spec.shape), j.spec.tasks);
   }
   j.stamp = stamp;
   if (j.phase != rec->phase)
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -21,6 +21,11 @@
   return names[static_cast<int>(p)];
 }
 
+const char* name_of(Shape s) {
+  static constexpr const char* names[] = {"array", "gang", "service"};
+  return names[static_cast<int>(s)];
+}
+
 const char* name_of(EndCause c) {
   static constexpr const char* names[] = {"none",  "done",    "stopped", "peers",  "incomplete",
                                           "error", "no_room", "busy",    "no_such"};
