--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -49,8 +49,12 @@
   /// Machines of other parts that may be drained for this job.
   std::vector<Bin> victims(const Job& j, bool guaranteed) const;
   void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
-  void rent_for(const JobSpec& spec, std::uint32_t tasks, PartIndex part, Clock clock,
-                std::vector<Bin>& bins);
+  void rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins);
+  void note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now);
+  /// Rents whole machines ahead of the gangs that will want them.
+  void stand_by(const std::vector<Bin>& idle, Clock clock);
+  /// This pass's request for the kind.
+  RentOrder& asking(const Kind& k);
   void return_machines(Clock clock, Effects& out);
   bool refused(const Kind& k, Seconds now) const;
   /// A request for it is under way.
@@ -70,6 +74,13 @@
   std::vector<RentOrder> asking_;  // this pass's requests, one per kind
   /// Machines' worth of room that tasks have left lately, a second.
   double freed_rate_ = 0, freed_seen_ = 0;
+  struct Turnover {
+    Seconds at = 0;
+    Kind kind;
+    std::uint32_t count = 0;
+  };
+  std::deque<Turnover> turnover_;   // whole machines that gangs took or had rented of late
+  std::map<Kind, double> standby_;  // how many are to stand idle for them
   struct Refusal {
     Seconds until = 0;
     int in_a_row = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t most_per_request = 50;  // the cloud's limit
 constexpr double drain_s = 4;  // until a machine whose work of lower rank is stopped has been handed over
 constexpr double demand_interval_s = 0.25;
+constexpr double turnover_memory_s = 30;
+constexpr double standby_share = 0.1;  // of the machines of a kind, at most
 constexpr double freed_memory_s = 30;  // how far back room that came free speaks for what will
 }  // namespace
 
@@ -242,6 +244,8 @@
       const Machine& m = model_.machine(mi);
       if (m.state == MachineState::deleting || m.failed_listed || m.recalled) continue;
       if (scheduler_.dark(m.rec.zone, now)) continue;
+      // One that takes far too long may never come: what waits for it must not wait for ever.
+      if (!m.up && now - m.known_since > 2 * model_.catalog[m.rec.type.v].boot_s) continue;
       if (m.rec.wanted_by.valid() ? m.rec.wanted_by != part : PartIndex{p} != part) continue;
       Amounts room = m.rec.wanted_by.valid() ? model_.catalog[m.rec.type.v].room : model_.room(m);
       add(mi, m.rec.type, m.rec.zone, m.rec.spot, m.up, room, now - m.known_since);
@@ -330,7 +334,8 @@
   std::vector<Bin> pool;
   for (MachineIndex mi : model_.machines_of(pool_part)) {
     const Machine& m = model_.machine(mi);
-    bool fresh = m.state == MachineState::expected && clock.now - m.known_since < model_.settings.lease_s;
+    bool fresh =
+        m.state == MachineState::expected && m.up && clock.now - m.known_since < model_.settings.lease_s;
     if ((m.state != MachineState::ready && !fresh) || m.recalled || m.writing || m.failed_listed ||
         !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now)) {
       continue;
@@ -393,6 +398,7 @@
           all[i].cost = 0;
           bins.push_back(all[i]);
           move_machine(all[i].machine, part, i >= from_victims);
+          if (i < from_victims) note_turnover(j, all[i], 1, clock.now);
         } else if (i < from_victims) {
           rest.push_back(all[i]);
         }
@@ -415,8 +421,9 @@
     leaves -= static_cast<double>(tasks.size()) * j.share;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
     if (patient || leaves < 0 || spare_whole)
-      rent_for(j.spec, static_cast<std::uint32_t>(tasks.size()), part, clock, bins);
+      rent_for(j, static_cast<std::uint32_t>(tasks.size()), clock, bins);
   }
+  stand_by(pool, clock);
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
                     std::to_string(++requests_);
@@ -426,8 +433,56 @@
   asking_.clear();
 }
 
-void Fleet::rent_for(const JobSpec& spec, std::uint32_t tasks, PartIndex part, Clock clock,
-                     std::vector<Bin>& bins) {
+void Fleet::note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now) {
+  if (j.spec.shape == Shape::gang && j.share > 0.5 && !b.spot)
+    turnover_.push_back({now, {b.type, b.zone, false}, count});
+}
+
+void Fleet::stand_by(const std::vector<Bin>& idle, Clock clock) {
+  // A gang that finds no whole machines waits for a boot. So as many stand idle as gangs take, at the pace of
+  // late, while one boots. The share keeps the first minutes, when everything is asked for at once, from
+  // filling the fleet with machines nobody will need.
+  while (!turnover_.empty() && clock.now - turnover_.front().at > turnover_memory_s) turnover_.pop_front();
+  standby_.clear();
+  for (const Turnover& t : turnover_) standby_[t.kind] += t.count / turnover_memory_s;
+  if (standby_.empty()) return;
+  std::map<Kind, double> up, stock;
+  for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
+    const Machine& m = model_.machine(MachineIndex{i});
+    if (m.stamp == 0 || m.rec.spot || m.rec.mark == MachineMark::deleting || m.failed_listed) continue;
+    Kind k{m.rec.type, m.rec.zone, false};
+    if (m.up) {
+      ++up[k];
+    } else if (m.rec.part == pool_part) {
+      ++stock[k];  // boots
+    }
+  }
+  for (const Bin& b : idle) stock[{b.type, b.zone, b.spot}] += 1;
+  for (const auto& [name, a] : adopt_) {
+    if (a.rec.part == pool_part && !a.rec.up) stock[{a.rec.type, a.rec.zone, a.rec.spot}] += 1;
+  }
+  for (auto& [kind, wanted] : standby_) {
+    wanted = std::min(std::ceil(wanted * model_.catalog[kind.type.v].boot_s), standby_share * up[kind]);
+    double missing = std::floor(wanted - stock[kind]);
+    if (missing < 1 || refused(kind, clock.now) || asked_for(kind)) continue;
+    RentOrder& order = asking(kind);
+    auto count = std::min(static_cast<std::uint32_t>(missing), most_per_request - order.count);
+    order.count += count;
+    order.parts.insert(order.parts.end(), count, pool_part);
+  }
+}
+
+RentOrder& Fleet::asking(const Kind& k) {
+  auto same = std::find_if(asking_.begin(), asking_.end(), [&](const RentOrder& r) {
+    return r.type == k.type && r.zone == k.zone && r.spot == k.spot;
+  });
+  if (same != asking_.end()) return *same;
+  asking_.push_back({"", k.type, k.zone, k.spot, 0, {}});
+  return asking_.back();
+}
+
+void Fleet::rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins) {
+  const JobSpec& spec = j.spec;
   struct Offer {
     double price;
     std::size_t have;  // machines in the zone already, to spread the risk
@@ -465,23 +520,17 @@
   if (asked_for(o.kind)) return;
   std::uint32_t count =
       (tasks + static_cast<std::uint32_t>(o.per_machine) - 1) / static_cast<std::uint32_t>(o.per_machine);
-  auto same = std::find_if(asking_.begin(), asking_.end(), [&](const RentOrder& r) {
-    return r.type == o.kind.type && r.zone == o.kind.zone && r.spot == o.kind.spot;
-  });
-  if (same == asking_.end()) {
-    asking_.push_back({"", o.kind.type, o.kind.zone, o.kind.spot, 0, {}});
-    same = asking_.end() - 1;
-  }
-  count = std::min(count, most_per_request - same->count);
-  same->count += count;
-  same->parts.insert(same->parts.end(), count, part);
-  const RentOrder& order = *same;
+  RentOrder& order = asking(o.kind);
+  count = std::min(count, most_per_request - order.count);
+  order.count += count;
+  order.parts.insert(order.parts.end(), count, spec.part);
   for (std::uint32_t i = 0; i < count; ++i) {
     Amounts room = model_.catalog[order.type.v].room;
     for (int k = 0; k < o.per_machine && tasks > 0; ++k, --tasks) room -= spec.need;
     bins.push_back(
         {MachineIndex{}, order.type, order.zone, order.spot, model_.catalog[order.type.v].boot_s, room});
   }
+  if (count > 0) note_turnover(j, bins.back(), count, clock.now);
 }
 
 void Fleet::return_machines(Clock clock, Effects& out) {
@@ -489,6 +538,11 @@
   Seconds now = clock.now;
   std::vector<MachineIndex> to_delete, to_mark, to_forget;
   std::size_t busy_writes = 0;
+  std::map<Kind, double> kept;
+  auto standby = [this](const Machine& m) {
+    auto it = standby_.find({m.rec.type, m.rec.zone, m.rec.spot});
+    return it == standby_.end() ? 0.0 : it->second;
+  };
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     MachineIndex mi{i};
     Machine& m = model_.machine(mi);
@@ -507,6 +561,7 @@
       bool stuck = !m.up && now - m.known_since > s.op.boot_patience * type.boot_s + s.lease_s;
       double keep = s.op.idle_keep_s * (m.rec.spot ? s.op.spot_keep_factor : 1);
       bool idle = m.state == MachineState::ready && now - m.idle_since > keep;
+      if (idle && kept[{m.rec.type, m.rec.zone, m.rec.spot}]++ < standby(m)) idle = false;
       mark = mark || stuck || idle || m.recalled || m.faulty_until > now || m.state == MachineState::silent;
     }
     if (mark && busy_writes++ < s.txn_ops) to_mark.push_back(mi);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -13,6 +13,7 @@
 namespace {
 const std::vector<PlacedTask> nothing_planned;
 constexpr double changes_memory_s = 5;
+constexpr double patient_keep = 3;   // times as long is an empty machine kept while something waits
 constexpr double busy_share = 0.15;  // of the changes a second, from which on an owner collects done marks
 constexpr double ring_saves_s = 1;   // a worker is asked to report at once when that saves so much
 
@@ -334,8 +335,14 @@
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
-  bool waiting = false;
-  for (JobIndex ji : model_.live_jobs(part)) waiting = waiting || model_.job(ji).pending() > 0;
+  // Whether an empty machine may still be of use: what waits for cheap machines does not keep ordinary ones.
+  bool waiting_cheap = false, waiting_other = false;
+  for (JobIndex ji : model_.live_jobs(part)) {
+    const Job& j = model_.job(ji);
+    if (j.pending() == 0) continue;
+    waiting_cheap = waiting_cheap || j.spec.spot;
+    waiting_other = waiting_other || !j.spec.spot || j.spec.shape != Shape::array;
+  }
   auto machines = model_.machines_of(part);
   for (MachineIndex mi : machines) {
     Machine& m = model_.machine(mi);
@@ -382,7 +389,9 @@
     if (part == pool_part || !m.on.empty() || m.writing) continue;
     const MachineType& type = model_.catalog[m.rec.type.v];
     bool stuck = !m.up && now - m.known_since > s.op.boot_patience * type.boot_s + s.lease_s;
-    bool idle = m.state == MachineState::ready && !waiting && now - m.idle_since > s.op.give_back_s;
+    bool waiting = m.rec.spot ? waiting_cheap : waiting_other;
+    double keep = waiting ? patient_keep * s.op.give_back_s : s.op.give_back_s;
+    bool idle = m.state == MachineState::ready && now - m.idle_since > keep;
     bool useless = m.recalled || m.faulty_until > now || m.state == MachineState::silent || stuck;
     bool unneeded = m.state == MachineState::expected && !waiting && now - m.known_since > type.boot_s &&
                     now - m.part_since > 2 * arrival_s();
