Lost tasks' removals go before done marks; a gang's in one change; nothing rented for what is being placed

Ruled out: the grace of the takeover (the machines had shown the new token). Also renting saw tasks as waiting that were being written.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t most_per_request = 50;  // the cloud's limit
 constexpr double drain_s = 4;  // until a machine whose work of lower rank is stopped has been handed over
 constexpr double demand_interval_s = 0.25;
+constexpr double being_placed_s = 1;  // from a job's acceptance until its owner's first placement shows
 constexpr double turnover_memory_s = 30;
 constexpr double standby_share = 0.1;  // of the machines of a kind, at most
 constexpr double freed_memory_s = 30;  // how far back room that came free speaks for what will
@@ -419,6 +420,8 @@
     // Room that others leave soon is cheaper than a machine that has yet to boot.
     if (tasks.empty()) continue;
     leaves -= static_cast<double>(tasks.size()) * j.share;
+    // Its owner may be placing it at this moment, and what is being written does not show yet.
+    if (j.writing || clock.now - j.first_seen < being_placed_s) continue;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
     if (patient || leaves < 0 || spare_whole)
       rent_for(j, static_cast<std::uint32_t>(tasks.size()), clock, bins);
@@ -446,13 +449,14 @@
   standby_.clear();
   for (const Turnover& t : turnover_) standby_[t.kind] += t.count / turnover_memory_s;
   if (standby_.empty()) return;
-  std::map<Kind, double> up, stock;
+  double up = 0, all = 0;
+  std::map<Kind, double> stock;
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     const Machine& m = model_.machine(MachineIndex{i});
     if (m.stamp == 0 || m.rec.spot || m.rec.mark == MachineMark::deleting || m.failed_listed) continue;
     Kind k{m.rec.type, m.rec.zone, false};
     if (m.up) {
-      ++up[k];
+      ++up;
     } else if (m.rec.part == pool_part) {
       ++stock[k];  // boots
     }
@@ -462,7 +466,12 @@
     if (a.rec.part == pool_part && !a.rec.up) stock[{a.rec.type, a.rec.zone, a.rec.spot}] += 1;
   }
   for (auto& [kind, wanted] : standby_) {
-    wanted = std::min(std::ceil(wanted * model_.catalog[kind.type.v].boot_s), standby_share * up[kind]);
+    wanted *= model_.catalog[kind.type.v].boot_s;
+    all += wanted;
+  }
+  double scale = std::min(1.0, standby_share * up / all);
+  for (auto& [kind, wanted] : standby_) {
+    wanted = std::ceil(wanted * scale);
     double missing = std::floor(wanted - stock[kind]);
     if (missing < 1 || refused(kind, clock.now) || asked_for(kind)) continue;
     RentOrder& order = asking(kind);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -461,9 +461,11 @@
     off += is_off(p.state) ? 1 : 0;
     done += p.state == PlacementState::finished ? 1 : 0;
   }
+  // Nothing of a gang that is being stopped can start before all of it is off.
+  bool whole = j.spec.shape == Shape::gang && gang_state(j) == GangState::stopping && off < j.placed.size();
   bool may = j.final_phase() ? off < j.placed.size()
                              : off == done && j.done + done < j.spec.tasks && j.spec.shape == Shape::array;
-  if (off == 0 || !may || j.marks_now) return false;
+  if (off == 0 || !(may || whole) || (j.marks_now && !whole)) return false;
   if (j.marks_due < 0) {
     bool busy = changes_ > busy_share * model_.settings.state_write_rps * changes_memory_s;
     if (!busy) return false;
@@ -495,7 +497,7 @@
     records[task / chunk_tasks];
     return true;
   };
-  bool finishing = false;
+  bool finishing = false, lost = false;
   std::vector<PlacedTask> written;
   std::vector<Released> released;
   bool plans = !planned.empty() && j.phase == JobPhase::open;
@@ -508,6 +510,7 @@
     bool changed = is_off(p.state) || (p.want_restart && !p.restarting);
     if (changed && touch(t)) news = true;
     finishing = finishing || p.state == PlacementState::finished;
+    lost = lost || p.state == PlacementState::gone;
     off += is_off(p.state) ? 1 : 0;
   }
   for (const PlacedTask& t : planned) {
@@ -576,7 +579,9 @@
       }
     }
   }
-  Urgency urgency = finishing ? Urgency::done_mark : planned.empty() ? Urgency::rest : Urgency::placement;
+  // What was lost waits to be placed again: until its removal is durable, it cannot be.
+  bool replaces = !written.empty() || (lost && j.phase == JobPhase::open);
+  Urgency urgency = replaces ? Urgency::placement : finishing ? Urgency::done_mark : Urgency::rest;
   queue_job(out, urgency, std::move(txn), ji, std::move(written), std::move(released));
 }
 
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -26,7 +26,7 @@
 
 void Store::set_live_nodes(std::size_t n) {
   // The work is uneven over the nodes, so each may use more than an even share; 429 settles the rest.
-  double share = n <= 1 ? 0.9 : std::max(0.5, 1.0 / static_cast<double>(n));
+  double share = n <= 1 ? 0.9 : 0.7;
   double rps = settings_.state_rps * share, writes = settings_.state_write_rps * share;
   requests_.set_rate(rps, rps / 2);
   changes_.set_rate(writes, std::max(writes / 2, static_cast<double>(settings_.txn_ops)));
