--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -63,10 +63,11 @@
   std::uint32_t scan_from = 0;  // no free bit in words before this one
   // Owner's working state.
   bool writing = false;
-  Seconds write_after = 0;  // back-off after a refused or unanswered transaction
-  Seconds marks_due = -1;   // done marks that may wait are written by then; below 0: none waits
-  bool marks_now = false;   // somebody needs them: they wait no longer
-  Seconds place_after = 0;  // back-off after errors
+  Seconds write_after = 0;    // back-off after a refused or unanswered transaction
+  Seconds marks_due = -1;     // done marks that may wait are written by then; below 0: none waits
+  bool marks_now = false;     // somebody needs them: they wait no longer
+  Seconds place_after = 0;    // back-off after errors
+  Seconds planned_at = -1e9;  // last placement of a part of it
   std::uint32_t errors = 0;
   Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
   Seconds first_seen = 0;
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -151,6 +151,8 @@
   void plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
             std::map<JobIndex, std::vector<PlacedTask>>& planned);
   void write_job(JobIndex ji, const std::vector<PlacedTask>& planned, Seconds now, Effects& out);
+  /// This owner writes more than that share of all changes that the state service takes.
+  bool busy(double share) const;
   /// Nothing but done marks (or what is left of a job that is over) is to be written, and nobody needs them.
   bool marks_may_wait(JobIndex ji, Seconds now);
   /// Marks of tasks that have ended on this machine wait no longer.
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -278,7 +278,9 @@
     bool beyond = guaranteed && use.gpus > own.gpus + amount_slack && use.cpus > own.cpus + amount_slack;
     for (MachineIndex mi : model_.machines_of(other)) {
       const Machine& m = model_.machine(mi);
-      if (m.state == MachineState::deleting || m.writing || m.rec.wanted_by.valid() || !m.up ||
+      // Asked for by another job in this very pass: once is enough.
+      bool asked = std::any_of(moves_.begin(), moves_.end(), [mi](const auto& x) { return x.first == mi; });
+      if (m.state == MachineState::deleting || m.writing || m.rec.wanted_by.valid() || !m.up || asked ||
           m.failed_listed) {
         continue;
       }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -383,8 +383,16 @@
       set_state(*p, stop ? PlacementState::stopping : PlacementState::placed, now);
     }
   }
-  for (JobIndex j : live_[part.v]) {
-    dirty.insert(j);
+  for (JobIndex ji : live_[part.v]) {
+    dirty.insert(ji);
+    // A placement is written only beside its machine's record, and the record goes only once the machine is
+    // gone for certain. The earlier owner knew that but may have ended before it wrote so: without this the
+    // task would wait for ever for a machine that nobody can hear or delete.
+    for (auto& [t, p] : job(ji).placed) {
+      if (machine(p.machine).stamp != 0) continue;
+      p.cause = EndCause::none;
+      set_state(p, PlacementState::gone, now);
+    }
   }
 }
 
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -13,6 +13,8 @@
 constexpr double hand_over_s = 4;      // until a machine that another part drains for us reports here
 constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
 constexpr double leader_looks_s = 0.7;
+constexpr double gather_s = 1.5;  // between two changes that place parts of a job, while changes are scarce
+constexpr double gather_from_share = 0.35;  // of the changes a second, written by this owner alone
 
 /// It still takes up its room, but not for long. (What is off already has left it.)
 bool is_leaving(const Placement& p) {
@@ -258,6 +260,11 @@
       (held ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
       if (there && j.spec.shape == Shape::service) rooms.bins[c.bin].lasting = true;
     }
+    // Machines that come one by one would cost a change each: what is there is held, and written together.
+    bool gathers =
+        here.size() < tasks.size() && busy(gather_from_share) && clock.now - j.planned_at < gather_s;
+    if (gathers || here.empty()) continue;
+    j.planned_at = clock.now;
     plan(ji, here, rooms.bins, planned);
   }
 }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -13,9 +13,10 @@
 namespace {
 const std::vector<PlacedTask> nothing_planned;
 constexpr double changes_memory_s = 5;
-constexpr double patient_keep = 3;   // times as long is an empty machine kept while something waits
-constexpr double busy_share = 0.15;  // of the changes a second, from which on an owner collects done marks
-constexpr double ring_saves_s = 1;   // a worker is asked to report at once when that saves so much
+constexpr double patient_keep = 3;  // times as long is an empty machine kept while something waits
+constexpr double collect_from_share =
+    0.15;                           // of the changes a second, from which on an owner collects done marks
+constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
 }  // namespace
 
@@ -450,6 +451,10 @@
   }
 }
 
+bool Scheduler::busy(double share) const {
+  return changes_ > share * model_.settings.state_write_rps * changes_memory_s;
+}
+
 bool Scheduler::marks_may_wait(JobIndex ji, Seconds now) {
   // A done task's result is kept, so that a mark which is lost costs no work: it is done again as soon as it
   // has its image. A mark for each end took most of the state service's changes. What a waiting task, a
@@ -467,8 +472,7 @@
                              : off == done && j.done + done < j.spec.tasks && j.spec.shape == Shape::array;
   if (off == 0 || !(may || whole) || (j.marks_now && !whole)) return false;
   if (j.marks_due < 0) {
-    bool busy = changes_ > busy_share * model_.settings.state_write_rps * changes_memory_s;
-    if (!busy) return false;
+    if (!busy(collect_from_share)) return false;
     j.marks_due = now + model_.settings.op.mark_delay_s;
     marks_due_.emplace(j.marks_due, ji);
   }
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -105,6 +105,7 @@
       return reply(200, {{"items", items}, {"truncated", false}, {"ledger_rev", state_.revision()}});
     }
     std::string key = r.path.substr(std::string("/store/").size());
+    if (key.rfind("o/j/", 0) == 0) ++job_reads_;
     auto it = state_.keys().find(key);
     if (it == state_.keys().end()) return reply(404, {{"ledger_rev", state_.revision()}});
     reply(200, {{"k", key}, {"value", it->second.value}, {"stamp", it->second.stamp}});
@@ -112,7 +113,7 @@
 
   void answer_watch() {
     const auto& events = state_.events();
-    if (!watch_ || (watched_from_ == events.size() && now() - watch_since_ < 0.5)) return;
+    if (!watch_ || (watched_from_ == events.size() && now() - watch_since_ < watch_hold_s_)) return;
     Json news = Json::array();
     for (std::size_t i = watched_from_; i < events.size(); ++i) {
       if (events[i].key.rfind("o/", 0) != 0) continue;
@@ -258,7 +259,8 @@
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
   net::ResponderPtr watch_;
   std::size_t watched_ = 0, watched_from_ = 0;
-  double watch_since_ = 0;
+  double watch_since_ = 0, watch_hold_s_ = 0.5;
+  int job_reads_ = 0;
   bool rented_ = false, reporting_ = false, timed_out_ = false;
   net::Timer limit_, poll_;
   std::function<void()> step_;
@@ -411,5 +413,46 @@
   }
 }
 
+TEST_F(Loopback, PollsShareAWatchAndSeeTheLatest) {
+  // A read of the state service for each poll once took its whole request limit.
+  watch_hold_s_ = 0;
+  start_program();
+  int up = 0, asked = 0, answered = 0, status = 0;
+  Json answer;
+  auto ask = [&](evhttp_cmd_type m, const std::string& path, const Json& body, int& to) {
+    if (asked > answered) return;
+    ++asked;
+    request(m, path, body, [&](int s, const Json& j) {
+      ++answered;
+      to = s;
+      answer = j;
+    });
+  };
+  until([&] { return up == 200; }, [&] { ask(EVHTTP_REQ_GET, "/up", Json(), up); });
+  until([&] { return status == 201; },
+        [&] { ask(EVHTTP_REQ_POST, "/submissions", submission("run-1"), status); });
+  asked = answered = job_reads_ = 0;
+  until([&] { return answered >= job_reads_ + 20; },
+        [&] {
+          if (asked > answered) return;
+          for (int i = 0; i < 4; ++i) {
+            ++asked;
+            request(EVHTTP_REQ_GET, "/submissions/run-1", Json(), [&](int s, const Json&) {
+              ++answered;
+              EXPECT_EQ(s, 200);
+            });
+          }
+        });
+  until([&] { return asked == answered; }, [] {});
+  // Another controller has told the user that the job is cancelled: no poll that comes later may say less.
+  Json cancelled = state_.keys().at("o/j/run-1").value;
+  cancelled["p"] = "cancelled";
+  state_.txn({{"guards", Json::array()}, {"apply", {{{"put", "o/j/run-1"}, {"value", cancelled}}}}});
+  answer = Json::object();
+  until([&] { return !answer.empty(); }, [&] { ask(EVHTTP_REQ_GET, "/submissions/run-1", Json(), status); });
+  EXPECT_EQ(answer["phase"], "cancelled");
+  stop_program();
+}
+
 }  // namespace
 }  // namespace oxbowmill
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -278,5 +278,25 @@
   EXPECT_EQ(c.log.starts["run-1/0"], 1);
 }
 
+TEST(Marks, PlacementOnAMachineThatIsGoneIsGivenUpAtATakeover) {
+  // The owner ends between the removal of the machine's record and that of its placements.
+  Cluster c;
+  c.add_machine("m1");
+  c.submit(test_job("run-1", 1));
+  c.run(3);
+  ASSERT_TRUE(c.worker("m1").has("run-1/0"));
+  c.kill_node(0);
+  c.silenced.insert("m1");
+  c.worker("m1").tick(c.now + 100);
+  c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/m/m1"}}}}});
+  c.add_machine("m2");
+  c.now += 4;
+  c.node(1).claim_all(c.now);
+  c.run(4, 1);
+  EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m2"});
+  EXPECT_TRUE(c.worker("m2").has("run-1/0"));
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
 }  // namespace
 }  // namespace oxbowmill
