--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -54,6 +54,15 @@
   model.catalog = test_catalog();
 }
 
+void Controller::list(double now) {
+  for (const auto& [key, e] : state_.keys()) {
+    auto change = state::decode(key, &e.value, model);
+    if (change) model.apply(*change, e.stamp, now);
+  }
+  heard_ = state_.events().size();
+  sync(now);
+}
+
 void Controller::sync(double now) {
   const auto& events = state_.events();
   for (; heard_ < events.size(); ++heard_) {
--- a/tests/standins/cluster.h
+++ b/tests/standins/cluster.h
@@ -22,6 +22,8 @@
  public:
   Controller(const std::string& name, State& state, Settings settings);
 
+  /// Reads what there is, as a controller that has just started does.
+  void list(double now);
   /// Hears what changed up to now, as the watch would tell it.
   void sync(double now);
   bool claim(PartIndex part, double now);
