A machine with a placement in flight is not moved

Their machines had been given back while the placement's transaction was on its way; both became durable, and the worker reported to an owner that does not know the job. Before, an owner with waiting work gave nothing back, which hid it except where the leader had asked for the machine. The test fails without the check.

--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -387,7 +387,9 @@
       // Handed over, but it does not come: what was placed there in advance was never sent.
       for (TaskId id : std::vector<TaskId>(m.on)) stop(*model_.find_placement(id), 0, now);
     }
-    if (part == pool_part || !m.on.empty() || m.writing) continue;
+    // A placement that is being written may become durable before the move: its task would be on a machine
+    // of a part whose owner does not know the job.
+    if (part == pool_part || !m.on.empty() || m.writing || m.reservations != 0) continue;
     const MachineType& type = model_.catalog[m.rec.type.v];
     bool stuck = !m.up && now - m.known_since > s.op.boot_patience * type.boot_s + s.lease_s;
     bool waiting = m.rec.spot ? waiting_cheap : waiting_other;
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -294,5 +294,20 @@
   EXPECT_TRUE(c.placed("run-1", 0).empty());
 }
 
+TEST(Marks, MachineWithAPlacementInFlightIsNotMoved) {
+  // It was given back as idle while the transaction was on its way: the job's owner never heard of its task
+  // again, since the worker reported to the machine's new owner.
+  Cluster c;
+  c.add_machine("m1");
+  c.run(2);
+  c.node(0).fate = standins::Fate::not_arrived;
+  c.submit(test_job("run-1", 1));
+  c.run(8 * c.node(0).model.settings.op.give_back_s);
+  ASSERT_FALSE(c.node(0).lost.empty());
+  for (const auto& body : c.node(0).lost) {
+    for (const auto& op : body.at("apply")) EXPECT_NE(op.value("put", ""), "o/m/m1");
+  }
+}
+
 }  // namespace
 }  // namespace oxbowmill
