--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -49,8 +49,11 @@
   std::string host;
   std::uint16_t port = 0;
 };
+std::string to_string(const Address& a);
 /// Throws std::invalid_argument unless it is "host:port".
 Address parse_address(const std::string& s);
+/// The same for an address to listen on, where port 0 leaves the choice to the system.
+Address parse_bind_address(const std::string& s);
 
 class HttpServer;
 
@@ -87,6 +90,8 @@
   /// Sockets numbered beyond this are not kept alive after their answer, so that a node near its limit of
   /// sockets goes on taking new connections.
   void keep_alive_below(int socket_number) { keep_alive_below_ = socket_number; }
+  /// Where it listens; the system's choice where port 0 was asked for.
+  const Address& address() const { return address_; }
 
  private:
   friend class Responder;
@@ -94,6 +99,7 @@
   static void on_close(evhttp_connection* conn, void* self);
   Handler handler_;
   int keep_alive_below_ = 1 << 30;
+  Address address_;
   std::unordered_map<evhttp_connection*, Responder*> open_;
   EvhttpPtr http_;
 };
--- a/include/oxbowmill/service/peers.h
+++ b/include/oxbowmill/service/peers.h
@@ -32,6 +32,7 @@
   /// Tells the others at once, at most every few milliseconds.
   void tell();
   bool any_has_state() const;
+  const net::Address& address() const { return server_->address(); }
   /// Passes a worker's report on to the node that owns its machine. At once status 0 when that node has not
   /// been heard for a while.
   void relay(const std::string& node, const std::string& report, net::ResponseFn fn);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -36,9 +36,10 @@
     if (!t_->contains(key)) return otherwise;
     return number(key, least);
   }
-  net::Address address(const char* key) const {
+  net::Address address(const char* key,
+                       net::Address (*parse)(const std::string&) = net::parse_address) const {
     try {
-      return net::parse_address(text(key));
+      return parse(text(key));
     } catch (const std::invalid_argument& e) {
       fail(key, e.what());
     }
@@ -167,8 +168,8 @@
   Settings& s = c.settings;
   s.op = load_operator(yaml_file);
   s.node = t.text("node_name");
-  c.bind = t.address("bind");
-  c.peer_bind = t.address("peer_bind");
+  c.bind = t.address("bind", net::parse_bind_address);
+  c.peer_bind = t.address("peer_bind", net::parse_bind_address);
   for (const Table& peer : t.list("seeds"))
     c.peers.push_back({peer.text("node_name"), peer.address("address")});
   s.nodes = static_cast<std::uint32_t>(c.peers.size()) + 1;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -48,7 +49,11 @@
   return event_pending(event_.get(), EV_TIMEOUT, nullptr) != 0;
 }
 
-Address parse_address(const std::string& s) {
+std::string to_string(const Address& a) {
+  return a.host + ":" + std::to_string(a.port);
+}
+
+Address parse_bind_address(const std::string& s) {
   std::size_t colon = s.rfind(':');
   if (colon == std::string::npos || colon == 0) throw std::invalid_argument("'" + s + "' is not HOST:PORT");
   std::size_t used = 0;
@@ -58,12 +63,18 @@
   } catch (const std::exception&) {
     throw std::invalid_argument("'" + s + "' has no port number");
   }
-  if (used + colon + 1 != s.size() || port == 0 || port > 65535) {
+  if (used + colon + 1 != s.size() || port > 65535) {
     throw std::invalid_argument("'" + s + "' has no valid port number");
   }
   return {s.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
+Address parse_address(const std::string& s) {
+  Address a = parse_bind_address(s);
+  if (a.port == 0) throw std::invalid_argument("'" + s + "' has no valid port number");
+  return a;
+}
+
 Responder::~Responder() {
   // An answer that nobody gave would leave the client waiting.
   if (req_ != nullptr) reply(503, "", 1);
@@ -90,7 +101,7 @@
 }
 
 HttpServer::HttpServer(event_base* base, const Address& bind, std::size_t most_body, Handler handler)
-    : handler_(std::move(handler)), http_(evhttp_new(base)) {
+    : handler_(std::move(handler)), address_(bind), http_(evhttp_new(base)) {
   evhttp* http = http_.get();
   // A body somewhat over the limit is read, so that it gets its 400 instead of a broken connection.
   evhttp_set_max_body_size(http, static_cast<ev_ssize_t>(4 * most_body));
@@ -99,8 +110,13 @@
   evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(http, &HttpServer::on_request, this);
-  if (evhttp_bind_socket(http, bind.host.c_str(), bind.port) != 0) {
-    throw std::runtime_error("cannot listen on " + bind.host + ":" + std::to_string(bind.port));
+  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(http, bind.host.c_str(), bind.port);
+  if (socket == nullptr) throw std::runtime_error("cannot listen on " + to_string(bind));
+  if (bind.port == 0) {
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    if (getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&bound), &size) == 0)
+      address_.port = ntohs(bound.sin_port);
   }
 }
 
@@ -181,7 +197,7 @@
                              void* arg) {
   evhttp_request* req = evhttp_request_new(done, arg);
   evkeyvalq* headers = evhttp_request_get_output_headers(req);
-  evhttp_add_header(headers, "Host", (to.host + ":" + std::to_string(to.port)).c_str());
+  evhttp_add_header(headers, "Host", to_string(to).c_str());
   if (!body.empty()) {
     evhttp_add_header(headers, "Content-Type", "application/cbor");
     evbuffer_add(evhttp_request_get_output_buffer(req), body.data(), body.size());
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -66,6 +66,8 @@
   server_ = std::make_unique<net::HttpServer>(base, config_.bind, wire::most_body,
                                               [this](net::Request&& r) { on_request(std::move(r)); });
   // The last eighth stays free for new connections and for the node's own calls.
+  SPDLOG_INFO("listening on {} for users and workers, on {} for controllers",
+              net::to_string(server_->address()), net::to_string(peers_.address()));
   if (model_.settings.socket_limit > 0) server_->keep_alive_below(model_.settings.socket_limit * 7 / 8);
   for (const config::Peer& p : config_.peers) all_nodes_.push_back(p.node);
   all_nodes_.push_back(model_.settings.node);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <thread>
 
 #include "oxbowmill/net/http.h"
 #include "oxbowmill/wire/codec.h"
@@ -19,25 +20,6 @@
 using net::Response;
 using wire::Json;
 
-std::uint16_t free_port() {
-  // Bound and released: nobody else on this machine listens there.
-  auto base = net::make_base();
-  for (std::uint16_t port = static_cast<std::uint16_t>(20000 + ::getpid() % 20000);; ++port) {
-    static std::set<std::uint16_t> used;
-    if (!used.insert(port).second) continue;
-    try {
-      net::HttpServer probe(base.get(), {"127.0.0.1", port}, 1024, [](Request&&) {});
-      return port;
-    } catch (const std::runtime_error&) {
-      continue;
-    }
-  }
-}
-
-std::string at(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
 class Loopback : public ::testing::Test {
  protected:
   Loopback()
@@ -53,16 +35,10 @@
           poll_.after(0.05);
         }) {
     worker_.lease_s = 6;
-    state_port_ = free_port();
-    cloud_port_ = free_port();
-    node_port_ = free_port();
-    peer_port_ = free_port();
-    state_server_ =
-        std::make_unique<net::HttpServer>(base_.get(), net::Address{"127.0.0.1", state_port_}, 1 << 20,
-                                          [this](Request&& r) { serve_state(std::move(r)); });
-    cloud_server_ =
-        std::make_unique<net::HttpServer>(base_.get(), net::Address{"127.0.0.1", cloud_port_}, 1 << 20,
-                                          [this](Request&& r) { serve_cloud(std::move(r)); });
+    state_server_ = std::make_unique<net::HttpServer>(base_.get(), net::Address{"127.0.0.1", 0}, 1 << 20,
+                                                      [this](Request&& r) { serve_state(std::move(r)); });
+    cloud_server_ = std::make_unique<net::HttpServer>(base_.get(), net::Address{"127.0.0.1", 0}, 1 << 20,
+                                                      [this](Request&& r) { serve_cloud(std::move(r)); });
   }
   ~Loopback() override {
     stop_program();
@@ -202,7 +178,7 @@
   }
   void raw_request(evhttp_cmd_type method, const std::string& path, const std::string& body,
                    std::function<void(int, const Json&)> fn) {
-    net::send_once(base_.get(), {"127.0.0.1", node_port_}, method, path, body, 5, [fn](const Response& r) {
+    net::send_once(base_.get(), node_, method, path, body, 5, [fn](const Response& r) {
       Json j = Json::from_cbor(r.body, true, false);
       fn(r.status, j.is_object() ? j : Json::object());
     });
@@ -211,25 +187,49 @@
   void start_program() {
     file_ = ::testing::TempDir() + "oxbowmill-loop-" + std::to_string(::getpid()) + ".toml";
     std::ofstream(file_)
-        << "node_name = \"n0\"\narea = \"a\"\nbind = \"" << at(node_port_) << "\"\npeer_bind = \""
-        << at(peer_port_) << "\"\n[services]\ncloud = \"" << at(cloud_port_) << "\"\nstate = \""
-        << at(state_port_)
+        << "node_name = \"n0\"\narea = \"a\"\nbind = \"127.0.0.1:0\"\npeer_bind = "
+           "\"127.0.0.1:0\"\n[services]\ncloud = \""
+        << net::to_string(cloud_server_->address()) << "\"\nstate = \""
+        << net::to_string(state_server_->address())
         << "\"\n[settings]\nzones = [\"a\"]\n[[settings.teams]]\nname = \"red\"\n[settings.workers]\n"
            "report_s = 0.5\nlease_s = 6.0\ngang_wait_s = 8.0\ngang_peer_s = 2.0\ncancel_s = 15.0\n"
            "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 4.0\ntxn_ops = 12\n"
            "[settings.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n";
+    int log[2];
+    ASSERT_EQ(pipe(log), 0);
     pid_ = fork();
     ASSERT_GE(pid_, 0);
     if (pid_ == 0) {
+      dup2(log[1], STDERR_FILENO);
       execl(PROGRAM, PROGRAM, "--config", file_.c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
+    close(log[1]);
+    // The system chooses the ports, so that tests can run side by side; the program's log names them.
+    std::ifstream lines("/dev/fd/" + std::to_string(log[0]));
+    std::string line;
+    while (node_.port == 0 && std::getline(lines, line)) {
+      const std::string says = "listening on ";
+      std::size_t from = line.find(says), to = line.find(" for users");
+      if (from != std::string::npos)
+        node_ = net::parse_address(line.substr(from + says.size(), to - from - says.size()));
+    }
+    ASSERT_NE(node_.port, 0);
+    reader_ = std::thread([fd = log[0]] {
+      char buf[4096];
+      for (ssize_t n; (n = read(fd, buf, sizeof buf)) > 0;) {
+        if (write(STDERR_FILENO, buf, static_cast<std::size_t>(n)) < 0) break;
+      }
+      close(fd);
+    });
   }
   void stop_program() {
     if (pid_ <= 0) return;
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
+    if (reader_.joinable()) reader_.join();
     pid_ = -1;
+    node_ = {};
   }
 
   /// Runs the loop until `done`, with a bound that only a hang reaches.
@@ -255,7 +255,8 @@
   standins::State state_;
   standins::RunLog log_;
   standins::Worker worker_;
-  std::uint16_t state_port_ = 0, cloud_port_ = 0, node_port_ = 0, peer_port_ = 0;
+  net::Address node_;
+  std::thread reader_;  // hands the program's log on
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
   net::ResponderPtr watch_;
   std::size_t watched_ = 0, watched_from_ = 0;
@@ -356,8 +357,7 @@
 
 TEST_F(Loopback, SocketsBeyondTheLimitAreNotKeptAlive) {
   for (int limit : {1 << 20, 0}) {
-    std::uint16_t port = free_port();
-    net::HttpServer server(base_.get(), {"127.0.0.1", port}, 1024,
+    net::HttpServer server(base_.get(), {"127.0.0.1", 0}, 1024,
                            [](Request&& r) { r.responder->reply(200, "x"); });
     server.keep_alive_below(limit);
     struct Seen {
@@ -365,7 +365,8 @@
       int status = 0;
       bool closes = false;
     } seen{base_.get()};
-    net::ConnectionPtr conn(evhttp_connection_base_new(base_.get(), nullptr, "127.0.0.1", port));
+    net::ConnectionPtr conn(
+        evhttp_connection_base_new(base_.get(), nullptr, "127.0.0.1", server.address().port));
     evhttp_request* req = evhttp_request_new(
         [](evhttp_request* r, void* arg) {
           auto* s = static_cast<Seen*>(arg);
