Markets: bids, ledger, trust, planner and desk as a pure package; off without settings

Change: src/market (pure), the market protocol's codec, records of bids, ledger and markets, a source of machines beside the cloud in the fleet, the trading over HTTP, markets: in the operators' file, stand-in markets and an experiment runner (oxbow-lab). A transaction that was once unanswered stays in doubt when a later copy gets 429 or 503: freeing its room then could let the first copy break a quota.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -24,10 +24,12 @@
 int main(int argc, char** argv) {
   set_up_log();
   CLI::App app{"oxbowmill, a cluster scheduler: runs one controller"};
-  std::string config_file, operator_file;
+  std::string config_file;
+  std::vector<std::string> operator_files;
   bool check = false;
   app.add_option("--config", config_file, "the platform's settings (TOML)")->required();
-  app.add_option("--operator", operator_file, "operators' settings (YAML)");
+  app.add_option("--operator", operator_files, "operators' settings (YAML); several files add to each other")
+      ->allow_extra_args(false);
   app.add_flag("--check", check, "check the settings and exit");
   app.set_version_flag("--version", std::string("oxbowmill ") + oxbowmill::version);
   try {
@@ -40,7 +42,7 @@
   }
   oxbowmill::config::Config config;
   try {
-    config = oxbowmill::config::load(config_file, operator_file);
+    config = oxbowmill::config::load(config_file, operator_files);
   } catch (const std::exception& e) {
     std::cerr << "oxbowmill: " << e.what() << '\n';
     return bad_usage;
--- /dev/null
+++ b/app/oxbow_lab.cpp
@@ -0,0 +1,74 @@
+// The laboratory: experiments on a simulated clock. Nothing of it is part of a controller.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "oxbowmill/lab/experiment.h"
+
+namespace {
+
+using namespace oxbowmill;
+
+bool ends_with(const std::string& s, const std::string& end) {
+  return s.size() >= end.size() && s.compare(s.size() - end.size(), end.size(), end) == 0;
+}
+
+int markets(const std::string& file, unsigned seeds, unsigned threads, const std::string& report,
+            unsigned long long one, const std::string& policy) {
+  lab::Scenario s = lab::load_scenario(file);
+  if (one != 0) {
+    for (lab::Policy p : {lab::Policy::planner, lab::Policy::cheapest, lab::Policy::one, lab::Policy::even,
+                          lab::Policy::bound}) {
+      if (policy != lab::name_of(p)) continue;
+      auto rows = std::vector<lab::Row>{{p, one, lab::MarketWorld(s, p, one).run()}};
+      std::cout << lab::table(s.name, lab::summarise(rows));
+    }
+    return 0;
+  }
+  auto rows = lab::play(s, seeds, threads);
+  auto summary = lab::summarise(rows);
+  std::cout << lab::table(s.name, summary);
+  if (report.empty()) return 0;
+  std::ofstream out(report);
+  if (ends_with(report, ".json")) {
+    out << lab::json(s.name, summary).dump(2) << '\n';
+  } else {
+    out << lab::csv(s.name, rows);
+  }
+  if (!out) throw std::runtime_error(report + ": cannot be written");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("oxbow-lab"));
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level == nullptr ? spdlog::level::off : spdlog::level::from_str(level));
+  spdlog::set_pattern("%l %v");
+  CLI::App app{"oxbow-lab: experiments with oxbowmill on a simulated clock"};
+  app.require_subcommand(1);
+  std::string file, report, policy = "planner";
+  unsigned seeds = 200, threads = std::max(1U, std::thread::hardware_concurrency());
+  unsigned long long one = 0;
+  auto* m = app.add_subcommand("markets", "bidding on stand-in markets, beside its baselines");
+  m->add_option("scenario", file, "scenario file (YAML)")->required();
+  m->add_option("--seeds", seeds, "how many seeds, from 1 on");
+  m->add_option("--threads", threads, "how many at a time");
+  m->add_option("--report", report, "file for the figures: .json by policy, else CSV by seed");
+  m->add_option("--one", one, "play this seed alone (LOG_LEVEL=info tells what happens)");
+  m->add_option("--policy", policy, "with --one: planner, cheapest, one, even or bound");
+  try {
+    app.parse(argc, argv);
+    return markets(file, seeds, threads, report, one, policy);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  } catch (const std::exception& e) {
+    std::cerr << "oxbow-lab: " << e.what() << '\n';
+    return 2;
+  }
+}
--- a/include/oxbowmill/config/config.h
+++ b/include/oxbowmill/config/config.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "oxbowmill/core/settings.h"
+#include "oxbowmill/market/settings.h"
 #include "oxbowmill/net/http.h"
 
 namespace oxbowmill::config {
@@ -23,12 +24,15 @@
 struct Config {
   Settings settings;
   Names names;
+  market::Settings markets;
   net::Address bind, peer_bind, cloud, state;
   std::vector<Peer> peers;
 };
 
-Config load(const std::string& toml_file, const std::string& yaml_file);
-/// Reads the operators' file into the defaults.
-OperatorSettings load_operator(const std::string& yaml_file);
+/// Several operators' files add to each other; what is set twice has its last value.
+Config load(const std::string& toml_file, const std::vector<std::string>& yaml_files);
+/// Reads an operators' file into settings; teams and markets are names of `names`.
+void load_operator(const std::string& yaml_file, OperatorSettings& op, market::Settings& markets,
+                   Names& names);
 
 }  // namespace oxbowmill::config
--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "oxbowmill/core/scheduler.h"
+#include "oxbowmill/core/source.h"
 
 namespace oxbowmill {
 
@@ -25,6 +26,10 @@
   void on_deleted(const std::vector<MachineIndex>& machines, bool confirmed);
   void on_listed(const std::vector<ListedMachine>& machines, Seconds now);
   void on_list_failed() { listing_ = false; }
+  /// From now on needs go to it first, and the cloud gets what it leaves.
+  void set_source(MachineSource* source) { source_ = source; }
+  /// A machine of a market is there.
+  void take_in(const std::string& name, const std::string& address, const MachineRecord& rec);
 
  private:
   struct Rent {
@@ -32,14 +37,6 @@
     RentState state = RentState::asked;
     Seconds retry_at = 0;
   };
-  struct Kind {
-    TypeIndex type;
-    ZoneIndex zone;
-    bool spot = false;
-    friend bool operator<(const Kind& a, const Kind& b) {
-      return std::tie(a.type, a.zone, a.spot) < std::tie(b.type, b.zone, b.spot);
-    }
-  };
   void adopt(const std::string& name, const MachineRecord& rec, std::uint64_t tenure = 0);
   void write_adoptions(Effects& out);
   void write_moves(Effects& out);
@@ -50,6 +47,8 @@
   std::vector<Bin> victims(const Job& j, bool guaranteed) const;
   void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
   void rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins);
+  void note_need(JobIndex ji, std::uint32_t tasks, bool guaranteed, Clock clock);
+  void serve_needs(std::vector<std::vector<Bin>>& own, Clock clock, Effects& out);
   void note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now);
   /// Rents whole machines ahead of the gangs that will want them.
   void stand_by(const std::vector<Bin>& idle, Clock clock);
@@ -64,6 +63,8 @@
 
   Model& model_;
   Scheduler& scheduler_;
+  MachineSource* source_ = nullptr;
+  std::vector<Need> needs_;  // of this pass
   struct Adoption {
     MachineRecord rec;
     std::uint64_t tenure = 0;  // of the worker that showed itself; 0: not heard
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -117,6 +117,18 @@
   std::vector<ImageIndex> images;  // most recently used last
 };
 
+/// Bids, what has been paid and what markets did: written by the leader, known to all.
+struct MoneyTables {
+  template <class R>
+  struct Entry {
+    R rec;
+    Stamp stamp = 0;  // 0: no record
+  };
+  std::map<std::string, Entry<BidRecord>> bids;
+  Entry<LedgerRecord> ledger;
+  std::map<MarketIndex, Entry<MarketRecord>> markets;
+};
+
 struct Claim {
   ClaimRecord rec;
   Stamp stamp = 0;
@@ -174,6 +186,7 @@
 
   Settings settings;
   Names names;
+  MoneyTables money;
   std::vector<MachineType> catalog;  // by type
   std::vector<double> image_gb;      // by image
   std::set<JobIndex> dirty;          // jobs whose placements, phase or pending tasks changed
@@ -182,6 +195,7 @@
  private:
   void apply_job(JobIndex j, const JobRecord* rec, Stamp stamp, Seconds now);
   void apply_chunk(const ChunkKey& key, const ChunkRecord* rec, Stamp stamp, Seconds now);
+  void apply_money(const Change& change, Stamp stamp);
   void apply_machine(MachineIndex m, const MachineRecord* rec, Stamp stamp, Seconds now);
   void add_placement(Job& j, const PlacedTask& p, JobIndex index, Seconds now);
   /// Room and quota that a task takes up, from its placement until it is proved to be off.
--- a/include/oxbowmill/core/records.h
+++ b/include/oxbowmill/core/records.h
@@ -1,6 +1,7 @@
 // Durable facts as the state service holds them, and transactions over them, free of key strings and codecs.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <variant>
 
@@ -39,6 +40,46 @@
   MachineMark mark = MachineMark::none;
   PartIndex wanted_by;  // the leader asks the owner to drain it and hand it to this part
   bool up = false;      // had reported when it was taken in: its next owner need not wait for a boot
+  // Of a market other than the platform's cloud: its word that the machine is gone proves nothing.
+  MarketIndex market = {};
+  std::string bid = {};
+};
+
+/// A bid on a market, durable before it is sent and until its last charge is known (docs/design.md, "Money").
+struct BidRecord {
+  MarketIndex market;
+  TypeIndex type;
+  ZoneIndex zone;
+  bool spot = false;
+  Money limit = 0;       // most per machine and hour
+  double term_s = 0;     // a machine is paid for at most so long
+  double sent_by = 0;    // time of day after which it is no longer sent for the first time
+  double deliver_s = 0;  // from the bid to the promised delivery
+  std::map<PartIndex, std::uint32_t> machines;  // for each part
+  std::uint32_t count() const {
+    std::uint32_t n = 0;
+    for (const auto& [part, k] : machines) n += k;
+    return n;
+  }
+};
+
+/// What has been paid in the present window, by part; the open bids' worst cases come on top.
+struct LedgerRecord {
+  std::int64_t window = 0;  // number of the window since the epoch
+  std::map<PartIndex, Money> spent;
+};
+
+/// Running means of what a market did, with the weight of evidence behind them.
+struct Evidence {
+  double kept = 0, broken = 0;                       // machines delivered and not, decaying
+  double delay_n = 0, delay_mean = 0, delay_m2 = 0;  // log of delay over promise
+  double drift_n = 0, drift_mean = 0, drift_m2 = 0;  // log of price over quote
+};
+
+struct MarketRecord {
+  bool shut = false;  // overcharged or broke the protocol: no new bids until an operator reopens it
+  std::string why;
+  Evidence evidence;
 };
 
 struct ClaimRecord {
@@ -66,7 +107,15 @@
 struct FinalKey {
   JobIndex job;
 };
-using Key = std::variant<JobKey, ChunkKey, MachineKey, ClaimKey, NodeKey, FinalKey>;
+struct BidKey {
+  std::string name;
+};
+struct LedgerKey {};
+struct MarketKey {
+  MarketIndex market;
+};
+using Key =
+    std::variant<JobKey, ChunkKey, MachineKey, ClaimKey, NodeKey, FinalKey, BidKey, LedgerKey, MarketKey>;
 
 struct Guard {
   Key key;
@@ -76,7 +125,9 @@
 /// A change of one key; without a value it is a removal.
 struct Change {
   Key key;
-  std::variant<std::monostate, JobRecord, ChunkRecord, MachineRecord, ClaimRecord, JobPhase> value;
+  std::variant<std::monostate, JobRecord, ChunkRecord, MachineRecord, ClaimRecord, JobPhase, BidRecord,
+               LedgerRecord, MarketRecord>
+      value;
   std::uint64_t hold = 0;  // attached to this hold; 0: none
   bool removal() const { return std::holds_alternative<std::monostate>(value); }
 };
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -93,8 +93,9 @@
   std::function<void(const WorkerReport&)> on_unrecorded;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
   /// Once it is durable, the workers to ring hear of their new owner without waiting for their next report.
+  /// `settled` is called once its outcome is known and stands in the tables.
   void queue(Effects& out, Urgency urgency, Transaction txn, const std::vector<MachineIndex>& machines,
-             std::vector<Ring> rings = {});
+             std::vector<Ring> rings = {}, std::function<void()> settled = nullptr);
 
  private:
   struct Released {
@@ -113,6 +114,8 @@
     JobSpec spec;
     Stamp refused_at = 0;
     Seconds resend_at = 0;
+    bool in_doubt = false;  // sent without an answer before: a copy may still be applied
+    std::function<void()> settled;
   };
   void queue_job(Effects& out, Urgency urgency, Transaction txn, JobIndex job,
                  std::vector<PlacedTask> planned, std::vector<Released> released);
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -44,6 +44,7 @@
   NameTable<ImageIndex> images;
   NameTable<ClassIndex> classes;
   NameTable<MachineIndex> machines;
+  NameTable<MarketIndex> markets;
 };
 
 struct Settings {
--- a/include/oxbowmill/core/types.h
+++ b/include/oxbowmill/core/types.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <limits>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -28,10 +29,12 @@
 using TypeIndex = Index<struct TypeTag>;
 using ImageIndex = Index<struct ImageTag>;
 using ClassIndex = Index<struct ClassTag>;
+using MarketIndex = Index<struct MarketTag>;
 using TaskNo = std::uint32_t;
 using Stamp = std::uint64_t;    // revision of the state service
 using Attempt = std::uint64_t;  // tells one start of a task from another
 using Seconds = double;         // steady clock, or a duration
+using Money = std::int64_t;     // millionths of the currency, so that sums are exact
 
 /// Maps names to dense indices at the door; inside only indices are used.
 template <class I>
@@ -109,6 +112,19 @@
   std::vector<ZoneIndex> zones;
 };
 
+/// A kind of machine that can be rented.
+struct Kind {
+  TypeIndex type;
+  ZoneIndex zone;
+  bool spot = false;
+  friend bool operator<(const Kind& a, const Kind& b) {
+    return std::tie(a.type, a.zone, a.spot) < std::tie(b.type, b.zone, b.spot);
+  }
+  friend bool operator==(const Kind& a, const Kind& b) {
+    return a.type == b.type && a.zone == b.zone && a.spot == b.spot;
+  }
+};
+
 struct TaskId {
   JobIndex job;
   TaskNo task = 0;
--- /dev/null
+++ b/include/oxbowmill/market/settings.h
@@ -0,0 +1,52 @@
+// What operators say of markets and of what they may cost (`markets:` of the operators' file).
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "oxbowmill/core/types.h"
+
+namespace oxbowmill::market {
+
+constexpr Money unit = 1'000'000;  // one of the currency, in Money
+/// Quotes and limits above this an hour are taken for errors, so that sums cannot overflow.
+constexpr double most_rate = 1e6;
+
+Money to_money(double amount);
+inline double to_amount(Money m) {
+  return static_cast<double>(m) / static_cast<double>(unit);
+}
+
+/// Most that may be spent; 0: no limit of its own.
+struct Ceiling {
+  Money per_hour = 0;    // sum of the limits of all machines that may be running
+  Money per_window = 0;  // paid in the window, and the worst case of what is open
+};
+
+struct MarketSettings {
+  std::string name;
+  MarketIndex index;
+  std::string address;  // "IPv4:port"
+  double rps = 4;       // requests a second to it
+};
+
+struct Settings {
+  std::vector<MarketSettings> markets;  // empty: the subsystem is off
+  Ceiling all;                          // required when there are markets
+  std::map<PartIndex, Ceiling> teams;
+  double window_s = 86400;
+  double term_s = 1800;       // a machine is paid for at most so long, then it goes back
+  double quote_every_s = 4;   // while something is needed
+  double answer_s = 3;        // a market that has not answered by then gave no answer
+  double patience_s = 60;     // beyond a promised delivery, and for needs without a deadline
+  double spare_share = 0.5;   // of what is needed may be bought again while overdue bids are in doubt
+  double trial_share = 0.3;   // of a plan's machines an unproven market gets at most
+  double limit_factor = 1.5;  // limits are at most this times the platform's ordinary price
+  double starve_s = 600;      // best-effort work that waited so long goes before other work beyond guarantees
+  double starve_share = 0.1;  // of the hourly ceiling, for such work
+
+  bool enabled() const { return !markets.empty(); }
+};
+
+}  // namespace oxbowmill::market
--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -108,13 +108,15 @@
 struct Response {
   int status = 0;
   std::string body;
+  double retry_after_s = 0;  // 0: not said
 };
 using ResponseFn = std::function<void(const Response&)>;
 
 /// A few kept-alive connections to one address; requests beyond them wait in order.
 class HttpClient {
  public:
-  HttpClient(event_base* base, Address address, std::size_t connections);
+  /// `most_body`: a longer answer counts as none; 0: no limit.
+  HttpClient(event_base* base, Address address, std::size_t connections, std::size_t most_body = 0);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -131,6 +133,7 @@
   static void on_done(evhttp_request* req, void* job);
   event_base* base_;
   Address address_;
+  std::size_t most_body_;
   std::vector<std::unique_ptr<Slot>> slots_;
   std::deque<std::unique_ptr<Job>> queue_;
   Timer pump_timer_;
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -4,6 +4,7 @@
 #include "oxbowmill/config/config.h"
 #include "oxbowmill/service/intake.h"
 #include "oxbowmill/service/peers.h"
+#include "oxbowmill/service/trading.h"
 
 namespace oxbowmill::service {
 
@@ -43,6 +44,7 @@
   state::Store store_;
   Mirror mirror_;
   Intake intake_;
+  std::unique_ptr<Trading> trading_;  // null without markets
   net::HttpClient cloud_;
   net::TokenBucket cloud_bucket_;
   std::deque<std::function<void()>> cloud_urgent_, cloud_rest_;
--- a/include/oxbowmill/state/keys.h
+++ b/include/oxbowmill/state/keys.h
@@ -6,6 +6,9 @@
 //   it o/p/<part>          claim of a part (`.pool`: leadership), attached to the holder's hold o/n/<node> a
 //   live controller, attached to its hold o/k                 the last machine catalog f/<job> final phase of
 //   a job whose other keys are gone
+//   o/b/<bid>           a bid on a market: what it may cost at worst, and for which parts
+//   o/l/ledger          what has been paid in this window, by part
+//   o/q/<market>        what a market is known for
 #pragma once
 
 #include <optional>
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,11 +1,13 @@
 #include "oxbowmill/config/config.h"
 
+#include <arpa/inet.h>
 #include <toml++/toml.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 
 #include "oxbowmill/state/keys.h"
 
@@ -119,44 +121,164 @@
 
 }  // namespace
 
-OperatorSettings load_operator(const std::string& file) {
-  OperatorSettings op;
-  if (file.empty()) return op;
+namespace {
+
+/// One map of the operators' file: every key is read once, and what is left over is an error.
+class YamlMap {
+ public:
+  YamlMap(const std::string& file, const std::string& at, const YAML::Node& n) : file_(file), at_(at) {
+    if (!n.IsMap()) throw Error(file + ": " + (at.empty() ? "" : at + ": ") + "not a map of settings");
+    for (const auto& e : n) left_[e.first.as<std::string>()] = e.second;
+  }
+  [[noreturn]] void fail(const std::string& key, const std::string& why) const {
+    throw Error(file_ + ": " + path(key) + ": " + why);
+  }
+  std::string path(const std::string& key) const { return at_.empty() ? key : at_ + "." + key; }
+  std::optional<YAML::Node> take(const std::string& key) {
+    auto it = left_.find(key);
+    if (it == left_.end()) return std::nullopt;
+    YAML::Node n = it->second;
+    left_.erase(it);
+    return n;
+  }
+  YamlMap sub(const std::string& key, const YAML::Node& n) const { return {file_, path(key), n}; }
+  void number(const std::string& key, double& out, double least, double most) {
+    auto n = take(key);
+    if (!n) return;
+    double v = 0;
+    try {
+      v = n->as<double>();
+    } catch (const YAML::Exception&) {
+      fail(key, "not a number");
+    }
+    if (!std::isfinite(v) || v < least || v > most) {
+      fail(key, "must be from " + YAML::Dump(YAML::Node(least)) + " to " + YAML::Dump(YAML::Node(most)));
+    }
+    out = v;
+  }
+  void flag(const std::string& key, bool& out) {
+    auto n = take(key);
+    if (!n) return;
+    try {
+      out = n->as<bool>();
+    } catch (const YAML::Exception&) {
+      fail(key, "not true or false");
+    }
+  }
+  std::string text(const std::string& key) {
+    auto n = take(key);
+    if (!n || !n->IsScalar() || n->Scalar().empty()) fail(key, "missing or not text");
+    return n->Scalar();
+  }
+  /// An amount of money above 0; nothing where the key is missing.
+  std::optional<Money> money(const std::string& key) {
+    constexpr double most = 1e9;
+    auto n = take(key);
+    if (!n) return std::nullopt;
+    double v = 0;
+    try {
+      v = n->as<double>();
+    } catch (const YAML::Exception&) {
+      fail(key, "not a number");
+    }
+    if (!(v > 0) || v > most)
+      fail(key, "must be more than 0, and " + YAML::Dump(YAML::Node(most)) + " at most");
+    return market::to_money(v);
+  }
+  std::vector<std::string> keys() const {
+    std::vector<std::string> out;
+    for (const auto& [k, n] : left_) out.push_back(k);
+    return out;
+  }
+  void done() const {
+    if (!left_.empty()) fail(left_.begin()->first, "unknown setting");
+  }
+
+ private:
+  std::string file_, at_;
+  std::map<std::string, YAML::Node> left_;
+};
+
+market::Ceiling read_ceiling(YamlMap m) {
+  market::Ceiling c;
+  c.per_hour = m.money("per_hour").value_or(0);
+  c.per_window = m.money("per_window").value_or(0);
+  m.done();
+  return c;
+}
+
+void read_markets(YamlMap m, market::Settings& s, Names& names) {
+  constexpr double day = 86400;
+  m.number("window_s", s.window_s, 60, 366 * day);
+  m.number("term_s", s.term_s, 60, 7 * day);
+  m.number("quote_every_s", s.quote_every_s, 0.5, 600);
+  m.number("answer_s", s.answer_s, 0.1, 60);
+  m.number("patience_s", s.patience_s, 1, day);
+  m.number("spare_share", s.spare_share, 0, 10);
+  m.number("trial_share", s.trial_share, 0, 1);
+  m.number("limit_factor", s.limit_factor, 0.01, 100);
+  m.number("starve_s", s.starve_s, 0, 30 * day);
+  m.number("starve_share", s.starve_share, 0, 1);
+  auto ceiling = m.take("ceiling");
+  if (!ceiling) m.fail("ceiling", "missing: nothing is bid for without one");
+  s.all = read_ceiling(m.sub("ceiling", *ceiling));
+  if (s.all.per_hour == 0) m.fail("ceiling.per_hour", "missing");
+  if (s.all.per_window == 0) m.fail("ceiling.per_window", "missing");
+  if (auto teams = m.take("teams")) {
+    YamlMap t = m.sub("teams", *teams);
+    for (const std::string& name : t.keys()) {
+      PartIndex part = names.parts.find(name);
+      if (!part.valid() || part == pool_part) t.fail(name, "not a team");
+      s.teams[part] = read_ceiling(t.sub(name, *t.take(name)));
+    }
+  }
+  auto list = m.take("list");
+  if (!list || !list->IsSequence() || list->size() == 0) m.fail("list", "missing or not a list of markets");
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    YamlMap e = m.sub("list[" + std::to_string(i) + "]", (*list)[i]);
+    market::MarketSettings x;
+    x.name = e.text("name");
+    if (!wire::valid_id(x.name) || x.name.find('.') != std::string::npos)
+      e.fail("name", "not usable as a market's name");
+    if (names.markets.find(x.name).valid()) e.fail("name", "named twice");
+    x.address = e.text("address");
+    try {
+      net::Address a = net::parse_address(x.address);
+      in_addr ip{};
+      if (inet_pton(AF_INET, a.host.c_str(), &ip) != 1)
+        throw std::invalid_argument("'" + x.address + "' is not IPV4:PORT");
+    } catch (const std::invalid_argument& why) {
+      e.fail("address", why.what());
+    }
+    e.number("rps", x.rps, 0.1, 1000);
+    e.done();
+    x.index = names.markets.intern(x.name);
+    s.markets.push_back(std::move(x));
+  }
+  m.done();
+}
+
+}  // namespace
+
+void load_operator(const std::string& file, OperatorSettings& op, market::Settings& markets, Names& names) {
   YAML::Node root;
   try {
     root = YAML::LoadFile(file);
   } catch (const YAML::Exception& e) {
     throw Error(file + ": cannot be read as YAML: " + e.msg);
   }
-  if (root.IsNull()) return op;
-  if (!root.IsMap()) throw Error(file + ": not a map of settings");
-  for (const auto& entry : root) {
-    std::string key = entry.first.as<std::string>();
-    auto number = yaml_keys().find(key);
-    auto flag = yaml_flags().find(key);
-    try {
-      if (number != yaml_keys().end()) {
-        double v = entry.second.as<double>();
-        const YamlKey& k = number->second;
-        if (!std::isfinite(v) || v < k.least || v > k.most) {
-          throw Error(file + ": " + key + ": must be from " + YAML::Dump(YAML::Node(k.least)) + " to " +
-                      YAML::Dump(YAML::Node(k.most)));
-        }
-        op.*k.field = v;
-      } else if (flag != yaml_flags().end()) {
-        op.*flag->second = entry.second.as<bool>();
-      } else {
-        throw Error(file + ": " + key + ": unknown setting");
-      }
-    } catch (const YAML::Exception&) {
-      throw Error(file + ": " + key + ": " +
-                  (flag != yaml_flags().end() ? "not true or false" : "not a number"));
-    }
+  if (root.IsNull()) return;
+  YamlMap m(file, "", root);
+  for (const auto& [key, k] : yaml_keys()) m.number(key, op.*k.field, k.least, k.most);
+  for (const auto& [key, flag] : yaml_flags()) m.flag(key, op.*flag);
+  if (auto n = m.take("markets")) {
+    if (markets.enabled()) m.fail("markets", "set in two files");
+    read_markets(m.sub("markets", *n), markets, names);
   }
-  return op;
+  m.done();
 }
 
-Config load(const std::string& toml_file, const std::string& yaml_file) {
+Config load(const std::string& toml_file, const std::vector<std::string>& yaml_files) {
   toml::table root;
   try {
     root = toml::parse_file(toml_file);
@@ -166,7 +288,6 @@
   Config c;
   Table t(toml_file, "", &root);
   Settings& s = c.settings;
-  s.op = load_operator(yaml_file);
   s.node = t.text("node_name");
   c.bind = t.address("bind", net::parse_bind_address);
   c.peer_bind = t.address("peer_bind", net::parse_bind_address);
@@ -192,6 +313,7 @@
     x.most = {team.number_or("cpus_max", 0, 0), team.number_or("gpus_max", 0, 0), 0};
     s.teams.push_back(x);
   }
+  for (const std::string& file : yaml_files) load_operator(file, s.op, c.markets, c.names);
   Table w = p.sub("workers");
   s.report_s = w.number("report_s", 0.1);
   s.lease_s = w.number("lease_s", 1);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -26,6 +26,10 @@
     rec.zone = model_.names.zones.find(r.zone);
     rec.spot = r.spot;
     rec.up = true;
+    // Machines of a market are named after it; what it delivered without a bid that is known here is of use,
+    // or goes back.
+    if (std::size_t dot = r.machine.find('.'); dot != std::string::npos)
+      rec.market = model_.names.markets.find(r.machine.substr(0, dot));
     if (!rec.type.valid() || !rec.zone.valid()) return;
     model_.machine(model_.intern_machine(r.machine)).address = r.address;
     adopt(r.machine, rec, r.tenure);
@@ -42,6 +46,12 @@
   a.tenure = tenure;
 }
 
+void Fleet::take_in(const std::string& name, const std::string& address, const MachineRecord& rec) {
+  MachineIndex m = model_.intern_machine(name);
+  if (model_.machine(m).address.empty()) model_.machine(m).address = address;
+  adopt(name, rec);
+}
+
 void Fleet::on_rented(const std::string& request, bool answered, const std::vector<std::string>& machines,
                       Seconds now) {
   auto it = rents_.find(request);
@@ -110,7 +120,8 @@
   // that: the machine is deleted, and the answer to the deletion is.
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     Machine& m = model_.machine(MachineIndex{i});
-    if (m.stamp != 0 && m.up && listed.count(MachineIndex{i}) == 0 &&
+    // The cloud's list says nothing of a market's machines.
+    if (m.stamp != 0 && m.up && !m.rec.market.valid() && listed.count(MachineIndex{i}) == 0 &&
         now - m.known_since > 6 * model_.settings.list_lag_s) {
       m.failed_listed = true;
     }
@@ -257,6 +268,12 @@
     const MachineRecord& rec = a.rec;
     if (rec.part == part) add({}, rec.type, rec.zone, rec.spot, rec.up, model_.catalog[rec.type.v].room);
   }
+  if (source_ != nullptr) {
+    for (const MachineSource::Expected& e : source_->expected(part, now)) {
+      for (std::uint32_t i = 0; i < e.machines; ++i)
+        bins.push_back({{}, e.type, e.zone, e.spot, e.wait_s, model_.catalog[e.type.v].room});
+    }
+  }
   for (const auto& [name, r] : rents_) {
     auto count = std::count(r.order.parts.begin(), r.order.parts.end(), part);
     for (std::ptrdiff_t i = 0; i < count; ++i) {
@@ -425,9 +442,15 @@
     // Its owner may be placing it at this moment, and what is being written does not show yet.
     if (j.writing || clock.now - j.first_seen < being_placed_s) continue;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
-    if (patient || leaves < 0 || spare_whole)
-      rent_for(j, static_cast<std::uint32_t>(tasks.size()), clock, bins);
+    if (!patient && leaves >= 0 && !spare_whole) continue;
+    auto lacking = static_cast<std::uint32_t>(tasks.size());
+    if (source_ != nullptr) {
+      note_need(ji, lacking, within, clock);
+    } else {
+      rent_for(j, lacking, clock, bins);
+    }
   }
+  if (source_ != nullptr) serve_needs(own, clock, out);
   stand_by(pool, clock);
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
@@ -438,6 +461,53 @@
   asking_.clear();
 }
 
+void Fleet::note_need(JobIndex ji, std::uint32_t tasks, bool guaranteed, Clock clock) {
+  const Job& j = model_.job(ji);
+  const JobSpec& spec = j.spec;
+  Need n;
+  n.job = ji;
+  n.part = spec.part;
+  n.rank = spec.rank;
+  n.guaranteed = guaranteed;
+  n.spot = spec.spot && model_.settings.op.use_spot;
+  n.tasks = tasks;
+  n.zone = spec.zone;
+  n.run_s = spec.estimate_s;
+  n.waited_s = clock.now - j.first_seen;
+  if (spec.deadline_s >= 0) {
+    double fetch = model_.catalog.empty() ? 0 : fetch_time(spec, model_.catalog.front());
+    n.slack_s = spec.submitted_at + spec.deadline_s - spec.estimate_s - fetch - clock.wall;
+  }
+  for (std::uint32_t t = 0; t < model_.catalog.size(); ++t) {
+    bool allowed = spec.types.empty() ||
+                   std::find(spec.types.begin(), spec.types.end(), TypeIndex{t}) != spec.types.end();
+    n.per_machine.push_back(
+        allowed ? static_cast<std::uint32_t>(how_many_fit(spec.need, model_.catalog[t].room)) : 0);
+  }
+  needs_.push_back(std::move(n));
+}
+
+void Fleet::serve_needs(std::vector<std::vector<Bin>>& own, Clock clock, Effects& out) {
+  std::vector<CloudOffer> cloud;
+  for (std::uint32_t t = 0; t < model_.catalog.size(); ++t) {
+    const MachineType& type = model_.catalog[t];
+    for (ZoneIndex z : type.zones) {
+      for (bool spot : {true, false}) {
+        Kind k{TypeIndex{t}, z, spot};
+        if (scheduler_.dark(z, clock.now) || refused(k, clock.now) || asked_for(k)) continue;
+        if (spot && !model_.settings.op.use_spot) continue;
+        cloud.push_back(
+            {k.type, z, spot, spot ? type.spot_price : type.price, type.boot_s, most_per_request});
+      }
+    }
+  }
+  std::vector<std::uint32_t> rest = source_->plan(needs_, cloud, clock, out);
+  for (std::size_t i = 0; i < needs_.size(); ++i) {
+    if (rest[i] > 0) rent_for(model_.job(needs_[i].job), rest[i], clock, own[needs_[i].part.v]);
+  }
+  needs_.clear();
+}
+
 void Fleet::note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now) {
   if (j.spec.shape == Shape::gang && j.share > 0.5 && !b.spot)
     turnover_.push_back({now, {b.type, b.zone, false}, count});
@@ -547,7 +617,7 @@
 void Fleet::return_machines(Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
-  std::vector<MachineIndex> to_delete, to_mark, to_forget;
+  std::vector<MachineIndex> to_delete, to_mark, to_forget, to_market;
   std::size_t busy_writes = 0;
   std::map<Kind, double> kept;
   auto standby = [this](const Machine& m) {
@@ -559,8 +629,13 @@
     Machine& m = model_.machine(mi);
     if (m.stamp == 0 || m.writing) continue;
     if (m.rec.mark == MachineMark::deleting) {
+      bool of_market = m.rec.market.valid();
       if (deleted_.count(mi) != 0) {
-        to_forget.push_back(mi);
+        // A market's word frees nothing: the record, whose going frees what is on a machine, stays until
+        // reports, a later session or the lease have proved it empty.
+        if (!of_market || m.on.empty()) to_forget.push_back(mi);
+      } else if (of_market) {
+        if (source_ != nullptr && deleting_.count(mi) == 0) to_market.push_back(mi);
       } else if (deleting_.count(mi) == 0 && to_delete.size() < 100) {
         to_delete.push_back(mi);
       }
@@ -604,6 +679,10 @@
     deleting_.insert(mi);
     out.deletes.push_back(mi);
   }
+  if (!to_market.empty()) {
+    deleting_.insert(to_market.begin(), to_market.end());
+    source_->give_back(to_market, now);
+  }
 }
 
 }  // namespace oxbowmill
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -225,6 +225,28 @@
     } else {
       nodes_.erase(n->node);
     }
+  } else {
+    apply_money(change, stamp);
+  }
+}
+
+void Model::apply_money(const Change& change, Stamp stamp) {
+  if (auto* b = std::get_if<BidKey>(&change.key)) {
+    if (auto* rec = std::get_if<BidRecord>(&change.value)) {
+      money.bids[b->name] = {*rec, stamp};
+    } else {
+      money.bids.erase(b->name);
+    }
+  } else if (std::holds_alternative<LedgerKey>(change.key)) {
+    auto* rec = std::get_if<LedgerRecord>(&change.value);
+    money.ledger =
+        rec != nullptr ? MoneyTables::Entry<LedgerRecord>{*rec, stamp} : MoneyTables::Entry<LedgerRecord>{};
+  } else if (auto* m = std::get_if<MarketKey>(&change.key)) {
+    if (auto* rec = std::get_if<MarketRecord>(&change.value)) {
+      money.markets[m->market] = {*rec, stamp};
+    } else {
+      money.markets.erase(m->market);
+    }
   }
 }
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -38,11 +38,13 @@
 }
 
 void Scheduler::queue(Effects& out, Urgency urgency, Transaction txn,
-                      const std::vector<MachineIndex>& machines, std::vector<Ring> rings) {
+                      const std::vector<MachineIndex>& machines, std::vector<Ring> rings,
+                      std::function<void()> settled) {
   for (MachineIndex m : machines) model_.machine(m).writing = true;
   std::uint64_t id = ++next_write_;
   changes_ += static_cast<double>(txn.changes.size());
-  pending_[id] = {txn, urgency, JobIndex{}, machines, {}, {}, std::move(rings), {}, 0, 0};
+  pending_[id] = {txn, urgency, JobIndex{}, machines,          {}, {}, std::move(rings), {},
+                  0,   0,       false,      std::move(settled)};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
 
@@ -53,7 +55,8 @@
   for (const PlacedTask& t : planned) model_.reserve(t.machine, j.spec, 1);
   std::uint64_t id = ++next_write_;
   changes_ += static_cast<double>(txn.changes.size());
-  pending_[id] = {txn, urgency, job, {}, std::move(planned), std::move(released), {}, j.spec, 0, 0};
+  pending_[id] = {txn, urgency, job,   {},     std::move(planned), std::move(released), {}, j.spec,
+                  0,   0,       false, nullptr};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
 
@@ -68,7 +71,12 @@
       settle(it, now, 0);
       break;
     case Outcome::not_executed:
-      settle(it, now, 0.3);
+      // Of this copy only: one that got no answer may still be applied, and its room, quota or money with it.
+      if (p.in_doubt) {
+        p.resend_at = now + 0.3;
+      } else {
+        settle(it, now, 0.3);
+      }
       break;
     case Outcome::refused:
       // One of the keys has changed, maybe by this very transaction sent earlier. Room and job stay taken
@@ -79,6 +87,7 @@
     case Outcome::unknown:
       // It may still be applied. The same transaction is sent again until the answer is definite: once one of
       // the two is applied the other's guards fail.
+      p.in_doubt = true;
       p.resend_at = now + 0.3;
       break;
   }
@@ -95,6 +104,7 @@
     model_.dirty.insert(p.job);
   }
   for (const PlacedTask& t : p.planned) model_.reserve(t.machine, p.spec, -1);
+  if (p.settled) p.settled();
 }
 
 void Scheduler::settle_pending(Seconds now, Effects& out) {
@@ -166,8 +176,18 @@
   m.address = r.address;
   if (m.first_report < 0) m.first_report = clock.now;
   m.up = true;
-  if (m.state == MachineState::expected || m.state == MachineState::silent ||
-      (m.state == MachineState::unaccounted && token_shown)) {
+  // What a market delivered is judged by the machine's own word: on another type or in another zone than was
+  // bid for, a job might be where it must not.
+  bool as_recorded = !m.rec.market.valid() ||
+                     Kind{model_.names.types.find(r.type), model_.names.zones.find(r.zone), r.spot} ==
+                         Kind{m.rec.type, m.rec.zone, m.rec.spot};
+  if (!as_recorded && m.faulty_until < clock.now) {
+    SPDLOG_INFO("machine {}: is {} in {}, not what was bid for; it goes back", r.machine, r.type, r.zone);
+    constexpr double for_good_s = 1e9;
+    m.faulty_until = clock.now + for_good_s;
+  }
+  if (as_recorded && (m.state == MachineState::expected || m.state == MachineState::silent ||
+                      (m.state == MachineState::unaccounted && token_shown))) {
     model_.set_state(mi, MachineState::ready, clock.now);
   }
   if (r.recall_s >= 0 && !m.recalled) {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -163,8 +163,11 @@
   std::unique_ptr<Job> job;
 };
 
-HttpClient::HttpClient(event_base* base, Address address, std::size_t connections)
-    : base_(base), address_(std::move(address)), pump_timer_(base, [this] { pump(); }) {
+HttpClient::HttpClient(event_base* base, Address address, std::size_t connections, std::size_t most_body)
+    : base_(base),
+      address_(std::move(address)),
+      most_body_(most_body),
+      pump_timer_(base, [this] { pump(); }) {
   for (std::size_t i = 0; i < connections; ++i) slots_.push_back(std::make_unique<Slot>());
 }
 
@@ -210,6 +213,8 @@
   if (req == nullptr) return r;
   r.status = evhttp_request_get_response_code(req);
   if (r.status != 0) r.body = drain(evhttp_request_get_input_buffer(req));
+  const char* after = evhttp_find_header(evhttp_request_get_input_headers(req), "Retry-After");
+  if (after != nullptr) r.retry_after_s = std::clamp(std::strtod(after, nullptr), 0.0, 3600.0);
   return r;
 }
 }  // namespace
@@ -220,6 +225,8 @@
     if (slot->job) continue;
     if (!slot->conn) {
       slot->conn.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
+      if (most_body_ > 0)
+        evhttp_connection_set_max_body_size(slot->conn.get(), static_cast<ev_ssize_t>(most_body_));
     }
     slot->job = std::move(queue_.front());
     queue_.pop_front();
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -63,6 +63,9 @@
     take_catalog(j, false);
   };
   mirror_.on_change = [this] { run_pass(); };
+  if (config_.markets.enabled())
+    trading_ =
+        std::make_unique<Trading>(base, model_, scheduler_, fleet_, config_.markets, &Node::now, &Node::wall);
   server_ = std::make_unique<net::HttpServer>(base, config_.bind, wire::most_body,
                                               [this](net::Request&& r) { on_request(std::move(r)); });
   // The last eighth stays free for new connections and for the node's own calls.
@@ -257,7 +260,10 @@
   if (!mirror_.live()) return;
   Effects out;
   scheduler_.pass(clock(), out);
-  if (hold_.authority(now()) == Authority::full) fleet_.pass(clock(), out);
+  if (hold_.authority(now()) == Authority::full) {
+    fleet_.pass(clock(), out);
+    if (trading_) trading_->pass(out);
+  }
   for (const Write& w : out.writes) send_write(w);
   for (const DirectOrders& d : out.direct) send_direct(d);
   for (const RentOrder& r : out.rents) cloud_call(true, [this, r] { send_rent(r); });
--- a/src/state/keys.cpp
+++ b/src/state/keys.cpp
@@ -29,6 +29,81 @@
   return it != j.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+double number(const Json& j, const char* key) {
+  auto it = j.find(key);
+  return it != j.end() && it->is_number() ? it->get<double>() : 0;
+}
+
+/// Numbers by part; nothing where a part or a number cannot be read: money must not be left out silently.
+template <class N>
+bool by_part(const Json& value, const char* key, const Names& names, std::map<PartIndex, N>& out) {
+  auto it = value.find(key);
+  if (it == value.end() || !it->is_object()) return false;
+  for (const auto& [name, n] : it->items()) {
+    PartIndex part = names.parts.find(name);
+    if (!n.is_number()) return false;
+    // A team that is no longer in the settings: its money is the pool's from now on.
+    out[part.valid() ? part : pool_part] += n.template get<N>();
+  }
+  return true;
+}
+
+bool numbers(const Json& value, const char* key, std::initializer_list<double*> out) {
+  auto it = value.find(key);
+  if (it == value.end() || !it->is_array() || it->size() != out.size()) return false;
+  std::size_t i = 0;
+  for (double* d : out) {
+    const Json& n = (*it)[i++];
+    if (!n.is_number()) return false;
+    *d = n.get<double>();
+  }
+  return true;
+}
+
+std::optional<Change> decode_money(char kind, const std::string& rest, const Json* value, Model& model) {
+  Change c;
+  if (kind == 'b') {
+    c.key = BidKey{rest};
+    if (value == nullptr) return c;
+    BidRecord r;
+    std::string market = text(*value, "market");
+    r.type = model.intern_type(text(*value, "type"));
+    r.zone = model.names.zones.find(text(*value, "zone"));
+    r.spot = value->value("spot", false);
+    r.limit = static_cast<Money>(number(*value, "limit"));
+    r.term_s = number(*value, "term");
+    r.sent_by = number(*value, "by");
+    r.deliver_s = number(*value, "in");
+    if (market.empty() || !r.zone.valid() || r.limit <= 0 || r.term_s <= 0 ||
+        !by_part(*value, "n", model.names, r.machines)) {
+      return std::nullopt;
+    }
+    r.market = model.names.markets.intern(market);
+    c.value = std::move(r);
+  } else if (kind == 'l') {
+    c.key = LedgerKey{};
+    if (value == nullptr) return c;
+    LedgerRecord r;
+    r.window = static_cast<std::int64_t>(number(*value, "w"));
+    if (!by_part(*value, "spent", model.names, r.spent)) return std::nullopt;
+    c.value = std::move(r);
+  } else {
+    c.key = MarketKey{model.names.markets.intern(rest)};
+    if (value == nullptr) return c;
+    MarketRecord r;
+    Evidence& e = r.evidence;
+    r.why = text(*value, "shut");
+    r.shut = value->contains("shut");
+    if (!numbers(*value, "kept", {&e.kept, &e.broken}) ||
+        !numbers(*value, "delay", {&e.delay_n, &e.delay_mean, &e.delay_m2}) ||
+        !numbers(*value, "drift", {&e.drift_n, &e.drift_mean, &e.drift_m2})) {
+      return std::nullopt;
+    }
+    c.value = std::move(r);
+  }
+  return c;
+}
+
 }  // namespace
 
 std::string job_key(const std::string& ref) {
@@ -49,6 +124,9 @@
     std::string operator()(const ClaimKey& k) { return "o/p/" + m.names.parts.name(k.part); }
     std::string operator()(const NodeKey& k) { return "o/n/" + k.node; }
     std::string operator()(const FinalKey& k) { return final_key(m.job(k.job).spec.ref); }
+    std::string operator()(const BidKey& k) { return "o/b/" + k.name; }
+    std::string operator()(const LedgerKey&) { return "o/l/ledger"; }
+    std::string operator()(const MarketKey& k) { return "o/q/" + m.names.markets.name(k.market); }
   };
   return std::visit(Visitor{model}, key);
 }
@@ -87,10 +165,40 @@
                 {"del", r.mark == MachineMark::deleting}};
       if (r.up) j["up"] = true;
       if (r.wanted_by.valid()) j["for"] = m.names.parts.name(r.wanted_by);
+      if (r.market.valid()) {
+        j["market"] = m.names.markets.name(r.market);
+        j["bid"] = r.bid;
+      }
       return j;
     }
     Json operator()(const ClaimRecord& r) { return {{"node", r.node}, {"hold", r.hold}}; }
     Json operator()(JobPhase p) { return {{"p", name_of(p)}}; }
+    Json operator()(const BidRecord& r) {
+      Json machines = Json::object();
+      for (const auto& [part, n] : r.machines) machines[m.names.parts.name(part)] = n;
+      return {{"market", m.names.markets.name(r.market)},
+              {"type", m.names.types.name(r.type)},
+              {"zone", m.names.zones.name(r.zone)},
+              {"spot", r.spot},
+              {"limit", r.limit},
+              {"term", r.term_s},
+              {"by", r.sent_by},
+              {"in", r.deliver_s},
+              {"n", machines}};
+    }
+    Json operator()(const LedgerRecord& r) {
+      Json spent = Json::object();
+      for (const auto& [part, amount] : r.spent) spent[m.names.parts.name(part)] = amount;
+      return {{"w", r.window}, {"spent", spent}};
+    }
+    Json operator()(const MarketRecord& r) {
+      const Evidence& e = r.evidence;
+      Json j = {{"kept", {e.kept, e.broken}},
+                {"delay", {e.delay_n, e.delay_mean, e.delay_m2}},
+                {"drift", {e.drift_n, e.drift_mean, e.drift_m2}}};
+      if (r.shut) j["shut"] = r.why;
+      return j;
+    }
   };
   return std::visit(Visitor{model}, change.value);
 }
@@ -167,10 +275,18 @@
       rec.spot = value->value("spot", false);
       rec.up = value->value("up", false);
       rec.mark = value->value("del", false) ? MachineMark::deleting : MachineMark::none;
+      if (std::string market = text(*value, "market"); !market.empty()) {
+        rec.market = model.names.markets.intern(market);
+        rec.bid = text(*value, "bid");
+      }
       if (!rec.part.valid() || !rec.zone.valid()) return std::nullopt;
       c.value = rec;
       return c;
     }
+    case 'b':
+    case 'l':
+    case 'q':
+      return decode_money(key[2], rest, value, model);
     case 'p': {
       PartIndex p = model.names.parts.find(rest);
       if (!p.valid()) return std::nullopt;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -79,9 +79,17 @@
   return s.replace(at, from.size(), to);
 }
 
+OperatorSettings operators(const std::string& yaml) {
+  OperatorSettings op;
+  market::Settings markets;
+  Names names;
+  config::load_operator(yaml, op, markets, names);
+  return op;
+}
+
 std::string error_of(const std::string& toml, const std::string& yaml) {
   try {
-    config::load(toml, yaml);
+    config::load(toml, yaml.empty() ? std::vector<std::string>{} : std::vector<std::string>{yaml});
   } catch (const config::Error& e) {
     return e.what();
   }
@@ -89,7 +97,7 @@
 }
 
 TEST_F(Config, ReadsThePlatformsFile) {
-  auto c = config::load(write("good.toml", good), "");
+  auto c = config::load(write("good.toml", good), {});
   EXPECT_EQ(c.settings.node, "n0");
   EXPECT_EQ(c.settings.nodes, 2U);
   EXPECT_EQ(c.names.parts.size(), 2U);  // the pool and one part per team
@@ -127,7 +135,7 @@
 }
 
 TEST_F(Config, ShortCancellationTimeShortensTheHold) {
-  auto c = config::load(write("short.toml", with("cancel_s = 40.0", "cancel_s = 15.0")), "");
+  auto c = config::load(write("short.toml", with("cancel_s = 40.0", "cancel_s = 15.0")), {});
   const Settings& s = c.settings;
   EXPECT_LT(s.op.hold_life_s, 4);
   EXPECT_LT(s.op.hold_life_s + s.grace_s() + s.lease_over_s(), 15);
@@ -158,13 +166,13 @@
       EXPECT_NE(e.find(c.error), std::string::npos) << c.text << " <- " << e;
     }
   }
-  auto op = config::load_operator(write("op2.yaml", "finished_ratio: 0.5\nbaseline_floor_s: 7\n"));
+  auto op = operators(write("op2.yaml", "finished_ratio: 0.5\nbaseline_floor_s: 7\n"));
   EXPECT_DOUBLE_EQ(op.finished_ratio, 0.5);
   EXPECT_DOUBLE_EQ(op.baseline_floor_s, 7);
 }
 
 TEST_F(Config, ShippedOperatorsFileIsValidAndNamesTheDefaults) {
-  auto op = config::load_operator(std::string(DEPLOY_DIR) + "/operator.yaml");
+  auto op = operators(std::string(DEPLOY_DIR) + "/operator.yaml");
   OperatorSettings defaults;
   EXPECT_DOUBLE_EQ(op.finished_ratio, defaults.finished_ratio);
   EXPECT_DOUBLE_EQ(op.multiplier, defaults.multiplier);
