--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -30,6 +30,8 @@
   void set_source(MachineSource* source) { source_ = source; }
   /// A machine of a market is there.
   void take_in(const std::string& name, const std::string& address, const MachineRecord& rec);
+  /// Work is to leave these machines, and they go back.
+  void drain(const std::vector<MachineIndex>& machines);
 
  private:
   struct Rent {
@@ -89,6 +91,7 @@
   std::map<Kind, Refusal> refusals_;
   std::map<std::string, Seconds> unknown_listed_;  // first listed without a record
   std::set<MachineIndex> deleting_;
+  std::set<MachineIndex> unwanted_;  // being drained, not to be used by any part
   std::set<MachineIndex> deleted_;
   std::uint64_t requests_ = 0;
   Seconds next_ = 0, next_list_ = 0;
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -72,7 +72,8 @@
 
   ReportAnswer on_report(const WorkerReport& r, Clock clock);
   void pass(Clock clock, Effects& out);
-  void on_outcome(std::uint64_t write_id, Outcome outcome, Stamp revision, Seconds now);
+  /// True: the transaction is going to be repeated.
+  bool on_outcome(std::uint64_t write_id, Outcome outcome, Stamp revision, Seconds now);
 
   /// Everything up to this revision has been applied.
   void seen_revision(Stamp rev) { seen_ = std::max(seen_, rev); }
--- a/include/oxbowmill/market/bid.h
+++ b/include/oxbowmill/market/bid.h
@@ -38,8 +38,11 @@
   std::string quote;            // the market's name of the quote
   Seconds quote_ends = 0;       // steady
   Seconds bid_at = -1;          // first sent
+  Seconds heard_at = -1;        // last time that the market spoke of it
+  Seconds charged_from = -1;    // no machine of it can have been charged for earlier
   Seconds due_at = 0;           // promised delivery, on the steady clock
-  Seconds overdue_at = 0;       // what has not come by then is bought elsewhere
+  Seconds doubted_at = 0;       // what has not come by then is bought again, within the spare
+  Seconds overdue_at = 0;       // and by then it is given up
   Seconds next_at = 0;          // when to act next
   std::uint64_t round = 0;      // of the raise that is asked for
   Money asked_rate = 0;         // in that raise
@@ -54,6 +57,7 @@
   bool late = false;    // its machines did not come in time
   bool judged = false;  // its outcome has been counted in the market's trust
   bool durable = false;
+  bool adopted = false;  // an earlier leader's
   Stamp stamp = 0;
   int silent = 0;  // calls in a row without an answer
 };
--- a/include/oxbowmill/market/desk.h
+++ b/include/oxbowmill/market/desk.h
@@ -24,6 +24,8 @@
   std::function<void(const HostNews&, const MachineRecord&)> on_delivered;
   /// The market says that they are back, or was not to be moved to say so.
   std::function<void(const std::vector<MachineIndex>&, bool said)> on_returned;
+  /// They cost more than was agreed: work is to leave them, and they go back.
+  std::function<void(const std::vector<MachineIndex>&)> on_unwanted;
   /// How needs are turned into awards; the experiments put baselines here.
   std::function<Plan(const std::vector<Demand>&, const std::vector<Offer>&, const Ledger&, double reference,
                      const Settings&)>
@@ -53,18 +55,19 @@
   void step(Bid& b, Clock clock, std::vector<Call>& calls);
   void follow(Bid& b, const BidNews& news, Clock clock);
   void take_hosts(Bid& b, const BidNews& news, Clock clock);
-  bool plausible(Bid& b, const BidNews& news);
+  void check_charge(Bid& b, Money charged, Seconds now);
   void decide_raise(Bid& b, const BidNews& news);
   void judge(Bid& b, Clock clock);
   void finish(Bid& b, Money charged, const std::string& why);
   void dispute(Bid& b, const std::string& why);
-  void read_charges(MarketVenue& v, const Answer& a);
+  void read_charges(MarketVenue& v, const Answer& a, Seconds now);
   void settle(Clock clock, Effects& out);
   void tend_venues(Clock clock, std::vector<Call>& calls);
   void send_returns(Clock clock, std::vector<Call>& calls);
   bool ask(const Bid& b, CallKind kind, Clock clock, std::vector<Call>& calls);
   bool overdue(const Bid& b, Seconds now) const;
-  Seconds overdue_at(const Bid& b) const;
+  bool doubted(const Bid& b, Seconds now) const;
+  void set_patience(Bid& b) const;
   std::uint32_t missing(const Bid& b) const;
   void hold_back_spare(std::vector<Demand>& demands, Seconds now) const;
   void note_unmet(const std::vector<Demand>& demands, const Plan& plan, Seconds now);
--- a/include/oxbowmill/market/planner.h
+++ b/include/oxbowmill/market/planner.h
@@ -34,6 +34,7 @@
   ZoneIndex zone;
   std::vector<std::uint32_t> per_machine;
   std::uint32_t machines = 0;
+  std::uint32_t spare = 0;  // that may be bought beyond them
   Seconds run_s = 0, slack_s = 0;
   std::vector<std::size_t> needs;  // which of the caller's, in order of urgency
 };
@@ -41,6 +42,7 @@
 struct Award {
   std::size_t demand = 0, offer = 0;
   std::uint32_t machines = 0;
+  bool spare = false;  // beyond the demand, since not all of it is expected in time
 };
 
 struct Plan {
@@ -56,6 +58,8 @@
 struct Prices {
   /// Expected cost of one machine of the offer for the demand: money, and what being late is worth.
   static double of(const Demand& d, const Offer& o, double reference, const Settings& s);
+  /// Chance that a machine of it is there in time, or not much later.
+  static double comes(const Demand& d, const Offer& o, const Settings& s);
   /// Cost of leaving one machine's worth of it unserved.
   static double unserved(const Demand& d, double reference);
   /// The offer's machines that make one of the reference type; 0: not allowed.
@@ -68,7 +72,9 @@
 std::vector<Demand> group(const std::vector<Need>& needs, const Settings& s);
 
 /// `reference`: the platform's ordinary price of a machine. Claims are served in their order; within one the
-/// cost is least for the offers and the money that are left.
+/// cost is least for the offers and the money that are left. What is expected not to come in time is bought
+/// again elsewhere, within the stated spare, from what then remains: a machine that turns out not to be
+/// needed costs the seconds until it goes back, and a late one the work.
 Plan make_plan(const std::vector<Demand>& demands, const std::vector<Offer>& offers, const Ledger& ledger,
                double reference, const Settings& s);
 
--- a/include/oxbowmill/market/settings.h
+++ b/include/oxbowmill/market/settings.h
@@ -36,11 +36,12 @@
   Ceiling all;                          // required when there are markets
   std::map<PartIndex, Ceiling> teams;
   double window_s = 86400;
-  double term_s = 1800;       // a machine is paid for at most so long, then it goes back
-  double quote_every_s = 4;   // while something is needed
-  double answer_s = 3;        // a market that has not answered by then gave no answer
-  double patience_s = 60;     // beyond a promised delivery, and for needs without a deadline
-  double spare_share = 0.5;   // of what is needed may be bought again while overdue bids are in doubt
+  double term_s = 1800;      // a machine is paid for at most so long, then it goes back
+  double quote_every_s = 4;  // while something is needed
+  double answer_s = 3;       // a market that has not answered by then gave no answer
+  double patience_s = 60;    // beyond a promised delivery, and for needs without a deadline
+  double spare_share =
+      0.5;  // of what is needed may be bought beyond it, for what does not come or is in doubt
   double trial_share = 0.3;   // of a plan's machines an unproven market gets at most
   double limit_factor = 1.5;  // limits are at most this times the platform's ordinary price
   double starve_s = 600;      // best-effort work that waited so long goes before other work beyond guarantees
--- a/include/oxbowmill/market/trust.h
+++ b/include/oxbowmill/market/trust.h
@@ -13,7 +13,7 @@
 /// Chance that a delivery is there within a time, tabulated: plans ask for it thousands of times.
 class Punctuality {
  public:
-  static constexpr std::size_t points = 24;
+  static constexpr std::size_t points = 48;
   static constexpr double shortest_s = 1, longest_s = 7200;
   double within(Seconds s) const;
 
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -3,6 +3,7 @@
 
 #include "oxbowmill/config/config.h"
 #include "oxbowmill/service/intake.h"
+#include "oxbowmill/service/outbox.h"
 #include "oxbowmill/service/peers.h"
 #include "oxbowmill/service/trading.h"
 
@@ -49,11 +50,7 @@
   net::TokenBucket cloud_bucket_;
   std::deque<std::function<void()>> cloud_urgent_, cloud_rest_;
   unsigned cloud_turn_ = 0;
-  struct Sent {
-    wire::Json body;
-    std::vector<std::pair<std::string, Change>> changes;
-  };
-  std::unordered_map<std::uint64_t, Sent> sent_;
+  Outbox outbox_;
   std::unordered_map<std::uint32_t, double> claim_at_;  // by part: when to try
   net::Timer tick_;
   double next_renew_ = 0, next_catalog_ = 0;
--- /dev/null
+++ b/include/oxbowmill/service/outbox.h
@@ -0,0 +1,27 @@
+// Transactions on their way to the state service, as they were first sent.
+#pragma once
+
+#include <unordered_map>
+
+#include "oxbowmill/state/keys.h"
+
+namespace oxbowmill::service {
+
+class Outbox {
+ public:
+  struct Sent {
+    wire::Json body;
+    std::vector<std::pair<std::string, Change>> changes;
+  };
+  /// A repeated transaction is the very same one: what it names may have changed in the tables since, or be
+  /// gone.
+  Sent& keep(const Write& w, Model& model);
+  Sent* find(std::uint64_t id);
+  /// It will not be repeated.
+  void drop(std::uint64_t id) { sent_.erase(id); }
+
+ private:
+  std::unordered_map<std::uint64_t, Sent> sent_;
+};
+
+}  // namespace oxbowmill::service
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -52,6 +52,10 @@
   adopt(name, rec);
 }
 
+void Fleet::drain(const std::vector<MachineIndex>& machines) {
+  unwanted_.insert(machines.begin(), machines.end());
+}
+
 void Fleet::on_rented(const std::string& request, bool answered, const std::vector<std::string>& machines,
                       Seconds now) {
   auto it = rents_.find(request);
@@ -185,6 +189,7 @@
   if (!scheduler_.leads() || !model_.catalog_known()) {
     adopt_.clear();
     rents_.clear();
+    unwanted_.clear();
     return;
   }
   if (clock.now < next_) return;
@@ -357,7 +362,7 @@
     bool fresh =
         m.state == MachineState::expected && m.up && clock.now - m.known_since < model_.settings.lease_s;
     if ((m.state != MachineState::ready && !fresh) || m.recalled || m.writing || m.failed_listed ||
-        !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now)) {
+        !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now) || unwanted_.count(mi) != 0) {
       continue;
     }
     pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m), 1});
@@ -451,6 +456,13 @@
     }
   }
   if (source_ != nullptr) serve_needs(own, clock, out);
+  // Their owners stop what runs there, with time to save, and hand them over.
+  for (MachineIndex mi : unwanted_) {
+    const Machine& m = model_.machine(mi);
+    if (m.stamp != 0 && m.rec.part != pool_part && m.rec.wanted_by != pool_part && !m.writing &&
+        m.state != MachineState::deleting)
+      move_machine(mi, pool_part, true);
+  }
   stand_by(pool, clock);
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
@@ -648,7 +660,8 @@
       double keep = s.op.idle_keep_s * (m.rec.spot ? s.op.spot_keep_factor : 1);
       bool idle = m.state == MachineState::ready && now - m.idle_since > keep;
       if (idle && kept[{m.rec.type, m.rec.zone, m.rec.spot}]++ < standby(m)) idle = false;
-      mark = mark || stuck || idle || m.recalled || m.faulty_until > now || m.state == MachineState::silent;
+      mark = mark || stuck || idle || unwanted_.count(mi) != 0 || m.recalled || m.faulty_until > now ||
+             m.state == MachineState::silent;
     }
     if (mark && busy_writes++ < s.txn_ops) to_mark.push_back(mi);
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -60,9 +60,9 @@
   out.writes.push_back({id, urgency, std::move(txn)});
 }
 
-void Scheduler::on_outcome(std::uint64_t write_id, Outcome outcome, Stamp revision, Seconds now) {
+bool Scheduler::on_outcome(std::uint64_t write_id, Outcome outcome, Stamp revision, Seconds now) {
   auto it = pending_.find(write_id);
-  if (it == pending_.end()) return;
+  if (it == pending_.end()) return false;
   Pending& p = it->second;
   switch (outcome) {
     case Outcome::applied:
@@ -74,9 +74,9 @@
       // Of this copy only: one that got no answer may still be applied, and its room, quota or money with it.
       if (p.in_doubt) {
         p.resend_at = now + 0.3;
-      } else {
-        settle(it, now, 0.3);
+        return true;
       }
+      settle(it, now, 0.3);
       break;
     case Outcome::refused:
       // One of the keys has changed, maybe by this very transaction sent earlier. Room and job stay taken
@@ -89,8 +89,9 @@
       // the two is applied the other's guards fail.
       p.in_doubt = true;
       p.resend_at = now + 0.3;
-      break;
+      return true;
   }
+  return false;
 }
 
 void Scheduler::settle(std::map<std::uint64_t, Pending>::iterator it, Seconds now, double back_off) {
--- a/src/lab/market_world.cpp
+++ b/src/lab/market_world.cpp
@@ -188,6 +188,8 @@
       scheduler(model, hold),
       desk(model, scheduler, w.settings) {
   model.catalog = w.catalog_;
+  for (std::uint32_t m = 0; m < w.names_.machines.size(); ++m)
+    model.intern_machine(w.names_.machines.name(MachineIndex{m}));
   for (const auto& [key, e] : w.store_) model.apply(e.change, e.stamp, w.now);
   hold.opened(term, w.now);
   hold.watch_answered(w.now + 1e9);
@@ -475,11 +477,17 @@
     Stamp revision = 0;
     apply({{}, {claim}}, revision);
     market::Desk& d = leader_->desk;
+    // What the earlier leader had marked as to be returned, it may not have returned.
+    for (std::uint32_t m = 0; m < leader_->model.machine_count(); ++m) {
+      const auto& known = leader_->model.machine(MachineIndex{m});
+      if (known.stamp != 0 && machines_.count(names_.machines.name(MachineIndex{m})) == 0)
+        d.give_back({MachineIndex{m}}, now);
+    }
     d.planner = [this](const auto& demands, const auto& offers, const auto& ledger, double reference,
                        const auto& s) {
       std::map<PartIndex, std::uint32_t> late, wanted, awarded;
       for (const auto& [name, b] : leader_->desk.bids()) {
-        bool over = b.bid_at >= 0 && (now > b.overdue_at || b.want_withdraw);
+        bool over = b.bid_at >= 0 && (now > b.doubted_at || b.want_withdraw);
         if (!over || b.state >= market::BidState::running) continue;
         for (const auto& [part, n] : b.rec.machines)
           late[part] += n * (b.rec.count() - b.came) / b.rec.count();
@@ -509,6 +517,19 @@
       m.of_market = true;
       machines_[h.name] = m;
     };
+    d.on_unwanted = [this](const std::vector<MachineIndex>& ms) {
+      for (MachineIndex m : ms) {
+        auto it = machines_.find(names_.machines.name(m));
+        if (it == machines_.end()) continue;
+        if (it->second.busy_until >= 0) {
+          --jobs_[it->second.job].running;
+          ++jobs_[it->second.job].pending;
+          it->second.busy_until = -1;
+        }
+        it->second.ready_at = it->second.idle_since = -1e9;  // goes back in this very step
+        it->second.part = pool_part;
+      }
+    };
     d.on_returned = [this](const std::vector<MachineIndex>& ms, bool said) {
       Stamp at = 0;
       for (MachineIndex m : ms) {
--- a/src/market/desk.cpp
+++ b/src/market/desk.cpp
@@ -13,11 +13,13 @@
 constexpr double status_every_s = 1, running_every_s = 10, charges_every_s = 10;
 constexpr double repeat_first_s = 0.5, repeat_most_s = 8;  // of a call that got no answer
 constexpr double needed_for_s = 15;                        // quotes are refreshed so long after the last need
-constexpr double late_chance = 0.9;   // a delivery is overdue once this share of them would have come
-constexpr double after_term_s = 120;  // a market has to say what it charged by then
+constexpr double doubted_chance = 0.8;  // a delivery is doubted once this share of them would have come ...
+constexpr double late_chance = 0.95;    // ... and overdue once this one would
+constexpr double after_term_s = 120;    // a market has to say what it charged by then
 constexpr std::size_t most_returns = 100;
 constexpr std::size_t most_settled = 5000;
-constexpr Money rounding = 100;  // in sums of charges
+constexpr Money rounding = 100;         // in sums of charges
+constexpr double least_charged_s = 60;  // a machine may cost this much at least
 
 double backed_off(int silent) {
   return std::min(repeat_most_s, repeat_first_s * std::exp2(std::min(silent, 8)));
@@ -95,11 +97,12 @@
     b.stamp = entry.stamp;
     b.durable = true;
     b.state = BidState::in_doubt;
+    b.adopted = true;
     b.expects = b.rec.count();
     b.bid_at = clock.now;
     b.due_at = clock.now + std::max(0.0, b.rec.sent_by + b.rec.deliver_s - clock.wall);
     b.rate = b.rec.limit;
-    b.overdue_at = overdue_at(b);
+    set_patience(b);
     ledger_.hold(name, b.rec);
     bids_.emplace(name, std::move(b));
   }
@@ -122,13 +125,22 @@
   return missing(b) > 0 && b.bid_at >= 0 && now > b.overdue_at;
 }
 
-Seconds Desk::overdue_at(const Bid& b) const {
-  Seconds promised = b.due_at - b.bid_at, by = promised;
+bool Desk::doubted(const Bid& b, Seconds now) const {
+  bool given_up = b.want_withdraw || b.state == BidState::withdrawing;
+  return missing(b) > 0 && (given_up || (b.bid_at >= 0 && now > b.doubted_at));
+}
+
+void Desk::set_patience(Bid& b) const {
+  Seconds promised = b.due_at - b.bid_at;
+  Seconds doubted = promised, overdue = promised;
   if (b.rec.market.v < venues_.size() && venues_[b.rec.market.v]) {
     Trust t = venues_[b.rec.market.v]->trust({b.rec.type, b.rec.zone, b.rec.spot});
-    by = std::max(by, std::min(t.delay_at(promised, late_chance), promised + settings_.patience_s));
+    Seconds longest = promised + settings_.patience_s;
+    doubted = std::max(promised, std::min(t.delay_at(promised, doubted_chance), longest));
+    overdue = std::max(promised, std::min(t.delay_at(promised, late_chance), longest));
   }
-  return b.bid_at + by + settings_.answer_s;
+  b.doubted_at = b.bid_at + doubted + settings_.answer_s / 2;
+  b.overdue_at = b.bid_at + overdue + settings_.answer_s;
 }
 
 std::vector<MachineSource::Expected> Desk::expected(PartIndex part, Seconds now) const {
@@ -136,7 +148,7 @@
   for (const auto& [name, b] : bids_) {
     std::uint32_t n = missing(b);
     // What is being given up, or should have come, is bought anew: a need must not wait for ever.
-    if (n == 0 || b.want_withdraw || b.state == BidState::withdrawing || overdue(b, now)) continue;
+    if (n == 0 || doubted(b, now)) continue;
     auto it = b.rec.machines.find(part);
     if (it == b.rec.machines.end()) continue;
     // Deliveries go to the parts in order; this part's share of what is missing.
@@ -170,8 +182,7 @@
   // Machines that are overdue may still come: what is bought again on top of them has a bound.
   std::map<PartIndex, std::uint32_t> late, wanted;
   for (const auto& [name, b] : bids_) {
-    if (missing(b) == 0 || !(b.want_withdraw || b.state == BidState::withdrawing || overdue(b, now)))
-      continue;
+    if (!doubted(b, now)) continue;
     std::uint32_t left = missing(b);
     for (auto it = b.rec.machines.rbegin(); it != b.rec.machines.rend() && left > 0; ++it) {
       std::uint32_t n = std::min(left, it->second);
@@ -180,11 +191,21 @@
     }
   }
   for (const Demand& d : demands) wanted[d.part] += d.machines;
-  for (auto& [part, n] : late) {
-    auto spare = static_cast<std::uint32_t>(std::ceil(settings_.spare_share * std::max(wanted[part], 1U)));
-    n -= std::min(n, spare);
-  }
-  // The least urgent wait for the definite answer.
+  std::map<PartIndex, std::uint32_t> spare;
+  for (const auto& [part, n] : wanted) {
+    std::uint32_t& may = spare[part];
+    may = static_cast<std::uint32_t>(std::ceil(settings_.spare_share * n));
+    std::uint32_t& out = late[part];
+    std::uint32_t counted = std::min(out, may);
+    may -= counted;
+    out -= counted;
+  }
+  for (Demand& d : demands) {
+    std::uint32_t& left = spare[d.part];
+    d.spare = std::min(d.spare, left);
+    left -= d.spare;
+  }
+  // Beyond the spare the least urgent wait for the definite answer.
   for (auto d = demands.rbegin(); d != demands.rend(); ++d) {
     std::uint32_t& n = late[d->part];
     std::uint32_t off = std::min(n, d->machines);
@@ -466,7 +487,7 @@
       if (ask(b, CallKind::bid, clock, calls)) {
         b.bid_at = now;
         b.due_at = now + b.rec.deliver_s;
-        b.overdue_at = overdue_at(b);
+        set_patience(b);
         set_state(b, BidState::asked, "sent");
       }
       return;
@@ -531,7 +552,7 @@
       if (answer.kind == AnswerKind::ok) v->quoted(answer, sent_at, model_.names);
       return;
     case CallKind::charges:
-      if (answer.kind == AnswerKind::ok) read_charges(*v, answer);
+      if (answer.kind == AnswerKind::ok) read_charges(*v, answer, clock.now);
       return;
     case CallKind::give_back: {
       std::vector<MachineIndex> back;
@@ -598,25 +619,27 @@
   follow(b, *answer.bid, clock);
 }
 
-bool Desk::plausible(Bid& b, const BidNews& news) {
-  if (news.charged > worst_case(b.rec) + rounding) {
-    b.charged = std::max(b.charged, news.charged);
-    dispute(b, "charges " + std::to_string(to_amount(news.charged)) + " for a bid of " +
-                   std::to_string(to_amount(worst_case(b.rec))) + " at worst");
-    return false;
+void Desk::check_charge(Bid& b, Money charged, Seconds now) {
+  if (b.disputed) return;
+  Money most = worst_case(b.rec);
+  if (b.charged_from >= 0) {
+    // Long before the worst case is passed, the time that its machines have been there says that it will be.
+    double longest = now - b.charged_from + least_charged_s;
+    most = std::min(most, worst_case(b.rec.limit, longest, b.rec.count()));
   }
-  if ((news.phase == MarketPhase::won || news.phase == MarketPhase::closed) && news.rate > b.rec.limit) {
-    dispute(b, "its price stands above the limit");
-    return false;
+  if (charged > most + rounding) {
+    dispute(b, "charges " + std::to_string(to_amount(charged)) + " where " + std::to_string(to_amount(most)) +
+                   " is the most");
   }
-  return true;
 }
 
 void Desk::follow(Bid& b, const BidNews& news, Clock clock) {
   MarketVenue& v = *known_venue(b.rec.market);
-  plausible(b, news);
-  b.charged = std::max(b.charged, news.charged);
   take_hosts(b, news, clock);
+  check_charge(b, news.charged, clock.now);
+  b.charged = std::max(b.charged, news.charged);
+  b.heard_at = clock.now;
+  if (news.rate > b.rec.limit && !b.disputed) dispute(b, "its price stands above the limit");
   bool giving_up = b.state == BidState::withdrawing;
   switch (news.phase) {
     case MarketPhase::open:
@@ -703,8 +726,9 @@
     bool extra = b.came >= b.rec.count();
     bool right = h.kind == kind;
     if (!extra) ++b.came;
-    if (b.bid_at >= 0 && !extra && b.state != BidState::in_doubt)
-      v.judge_delivery(kind, b.rec.deliver_s, clock.now - b.bid_at);
+    // Not before it was last said to have none.
+    if (b.charged_from < 0 && !b.adopted) b.charged_from = std::max(b.heard_at, b.bid_at);
+    if (!extra && !b.adopted) v.judge_delivery(kind, b.rec.deliver_s, clock.now - b.bid_at);
     if (extra || !right) {
       SPDLOG_INFO("bid {}: {} goes back, {}", b.name, h.name,
                   extra ? "more came than was bid for" : "it is not what was bid for");
@@ -743,17 +767,25 @@
   SPDLOG_ERROR("bid {}: disputed: {}", b.name, why);
   b.disputed = true;
   known_venue(b.rec.market)->shut("bid " + b.name + ": " + why);
+  std::vector<MachineIndex> machines;
+  for (const std::string& h : b.hosts) {
+    MachineIndex m = model_.names.machines.find(h);
+    if (!m.valid() || m.v >= model_.machine_count() || model_.machine(m).stamp == 0) continue;
+    // One that reported before the market spoke of it has a record without a bid.
+    const MachineRecord& rec = model_.machine(m).rec;
+    if (rec.market == b.rec.market && (rec.bid.empty() || rec.bid == b.name)) machines.push_back(m);
+  }
+  if (!machines.empty() && on_unwanted) on_unwanted(machines);
 }
 
-void Desk::read_charges(MarketVenue& v, const Answer& a) {
+void Desk::read_charges(MarketVenue& v, const Answer& a, Seconds now) {
   for (const ChargeNews& c : a.charges) {
     v.charges_read = std::max(v.charges_read, c.no);
     auto open = bids_.find(c.bid);
     if (open != bids_.end()) {
       Bid& b = open->second;
       if (b.rec.market != v.market().index) continue;
-      if (c.amount > worst_case(b.rec) + rounding && !b.disputed)
-        dispute(b, "charges " + std::to_string(to_amount(c.amount)) + ", more than its worst case");
+      check_charge(b, c.amount, now);
       if (b.state != BidState::settling) b.charged = std::max(b.charged, c.amount);
       continue;
     }
--- a/src/market/planner.cpp
+++ b/src/market/planner.cpp
@@ -136,10 +136,13 @@
   }
 
   Plan solve() {
-    plan_.unmet.resize(demands_.size());
-    for (std::size_t d = 0; d < demands_.size(); ++d) plan_.unmet[d] = demands_[d].machines;
+    for (const Demand& d : demands_) want_.push_back(d.machines);
+    plan_.unmet = want_;
     for (Claim c : {Claim::guaranteed, Claim::starved, Claim::high, Claim::standard, Claim::best_effort})
-      serve(c);
+      serve(c, false);
+    want_spares();
+    for (Claim c : {Claim::guaranteed, Claim::starved, Claim::high, Claim::standard, Claim::best_effort})
+      serve(c, true);
     for (std::size_t d = 0; d < demands_.size(); ++d)
       plan_.cost += plan_.unmet[d] * Prices::unserved(demands_[d], reference_);
     return std::move(plan_);
@@ -154,10 +157,24 @@
     std::uint32_t units = 0;
   };
 
-  void serve(Claim claim) {
+  void want_spares() {
+    std::vector<double> short_of(demands_.size(), 0);
+    for (const Award& a : plan_.awards) {
+      const Demand& d = demands_[a.demand];
+      const Offer& o = offers_[a.offer];
+      if (!o.market.valid()) continue;
+      if (o.proven) continue;
+      short_of[a.demand] += a.machines * (1 - Prices::comes(d, o, s_));
+    }
+    for (std::size_t d = 0; d < demands_.size(); ++d) {
+      want_[d] = std::min(static_cast<std::uint32_t>(std::lround(short_of[d])), demands_[d].spare);
+    }
+  }
+
+  void serve(Claim claim, bool spare) {
     std::vector<Pair> pairs;
     for (std::size_t d = 0; d < demands_.size(); ++d) {
-      if (demands_[d].claim != claim || demands_[d].machines == 0) continue;
+      if (demands_[d].claim != claim || want_[d] == 0) continue;
       for (std::size_t o = 0; o < offers_.size(); ++o) {
         double per = Prices::machines_per_unit(demands_[d], offers_[o]);
         if (per <= 0 || left_.offers[o] == 0) continue;
@@ -194,7 +211,7 @@
       }
     }
     fill(best);
-    for (const Pair& p : best) take(p, p.units);
+    for (const Pair& p : best) take(p, p.units, spare);
   }
 
   /// Solves for one claim with `price` on every unit of money that is committed.
@@ -212,7 +229,7 @@
     }
     Flow f(nodes);
     for (std::size_t d = 0; d < demands_.size(); ++d) {
-      if (demand_node[d] != 0) f.edge(0, demand_node[d], demands_[d].machines, 0);
+      if (demand_node[d] != 0) f.edge(0, demand_node[d], want_[d], 0);
     }
     for (std::size_t o = 0; o < offers_.size(); ++o) {
       if (offer_node[o] == 0) continue;
@@ -227,7 +244,11 @@
       double money = offers_[p.offer].market.valid() ? p.per_unit * to_amount(p.limit) : 0;
       // A unit that takes more than one machine of the offer is bounded by the offer in those machines.
       auto most = static_cast<std::uint32_t>(left_.offers[p.offer] / p.per_unit);
-      p.edge = f.edge(demand_node[p.demand], offer_node[p.offer], std::min(most, demands_[p.demand].machines),
+      // Nor does one demand hang on an unproven market alone.
+      if (offers_[p.offer].market.valid() && !offers_[p.offer].proven)
+        most = std::min(most,
+                        static_cast<std::uint32_t>(std::ceil(s_.trial_share * demands_[p.demand].machines)));
+      p.edge = f.edge(demand_node[p.demand], offer_node[p.offer], std::min(most, want_[p.demand]),
                       -p.gain + price * money * s_.term_s / 3600);
     }
     f.run(0, 1);
@@ -275,8 +296,7 @@
   /// Adds single units where they still fit, the best of them first.
   void fill(std::vector<Pair>& pairs) const {
     Left left = left_;
-    std::vector<std::uint32_t> open(demands_.size());
-    for (std::size_t d = 0; d < demands_.size(); ++d) open[d] = demands_[d].machines;
+    std::vector<std::uint32_t> open = want_;
     for (Pair& p : pairs) {
       // Units of several demands may round up beyond what an offer has.
       while (p.units > 0) {
@@ -310,10 +330,11 @@
     }
   }
 
-  void take(const Pair& p, std::uint32_t units) {
+  void take(const Pair& p, std::uint32_t units, bool spare) {
     if (units == 0) return;
     pay(left_, p, units);
-    plan_.awards.push_back({p.demand, p.offer, machines(p, units)});
+    plan_.awards.push_back({p.demand, p.offer, machines(p, units), spare});
+    if (spare) return;
     plan_.unmet[p.demand] -= units;
     plan_.cost += units * p.cost;
   }
@@ -324,6 +345,7 @@
   const Settings& s_;
   Left left_;
   Plan plan_;
+  std::vector<std::uint32_t> want_;  // by demand, in units
 };
 
 }  // namespace
@@ -355,14 +377,17 @@
   return std::min({o.limit, weight(d.claim) * reference, s.limit_factor * reference});
 }
 
-double Prices::of(const Demand& d, const Offer& o, double reference, const Settings& s) {
+double Prices::comes(const Demand& d, const Offer& o, const Settings& s) {
   double slack = std::isfinite(d.slack_s) ? d.slack_s : s.patience_s;
   double later = std::max(slack, 0.0) + s.patience_s;
   double chance =
       moment_share * o.punctuality.within(slack) + (1 - moment_share) * o.punctuality.within(later);
-  double comes = o.share * chance;
+  return o.share * chance;
+}
+
+double Prices::of(const Demand& d, const Offer& o, double reference, const Settings& s) {
   // What comes is paid for, also when late; what never comes costs nothing but its lateness.
-  return o.share * o.price * hours(d) + (1 - comes) * unserved(d, reference);
+  return o.share * o.price * hours(d) + (1 - comes(d, o, s)) * unserved(d, reference);
 }
 
 std::vector<Demand> group(const std::vector<Need>& needs, const Settings& s) {
@@ -383,12 +408,13 @@
     double run = std::floor(2 * std::log2(std::max(n.run_s, shortest_use_s)));
     auto [it, fresh] =
         seen.try_emplace({claim, n.part, n.spot, n.zone, n.per_machine, bucket(n.slack_s), run}, out.size());
-    if (fresh) out.push_back({claim, n.part, n.spot, n.zone, n.per_machine, 0, n.run_s, n.slack_s, {}});
+    if (fresh) out.push_back({claim, n.part, n.spot, n.zone, n.per_machine, 0, 0, n.run_s, n.slack_s, {}});
     Demand& d = out[it->second];
     d.machines += (n.tasks + per - 1) / per;
     d.slack_s = std::min(d.slack_s, n.slack_s);
     d.needs.push_back(i);
   }
+  for (Demand& d : out) d.spare = static_cast<std::uint32_t>(std::ceil(s.spare_share * d.machines));
   return out;
 }
 
--- a/src/market/trust.cpp
+++ b/src/market/trust.cpp
@@ -16,8 +16,8 @@
 namespace {
 // Priors: what is thought of a market that nobody has dealt with.
 constexpr double prior_kept = 2, prior_broken = 1;
-constexpr double prior_n = 2;
-constexpr double prior_delay_sd = 0.3, prior_drift_sd = 0.1;
+constexpr double prior_n = 4;
+constexpr double prior_delay_sd = 0.25, prior_drift_sd = 0.1;
 // A market may change: evidence halves in weight every so many machines, or deliveries.
 constexpr double memory_machines = 60, memory_events = 25;
 constexpr double whole_weight = 6;  // machines' worth of the whole market's evidence in that of a kind
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -276,39 +276,19 @@
 }
 
 void Node::send_write(const Write& w) {
-  // A repeated transaction is the very same one: what it names may have changed in the tables since.
-  auto [it, fresh] = sent_.try_emplace(w.id);
-  Sent& s = it->second;
-  if (fresh) {
-    s.body = {{"guards", Json::array()}, {"apply", Json::array()}};
-    for (const Guard& g : w.txn.guards) {
-      s.body["guards"].push_back({{"k", state::encode_key(g.key, model_)}, {"stamp", g.stamp}});
-    }
-    for (const Change& c : w.txn.changes) {
-      std::string key = state::encode_key(c.key, model_);
-      Json op;
-      if (c.removal()) {
-        op["delete"] = key;
-      } else {
-        op["put"] = key;
-        op["value"] = state::encode_value(c, model_);
-      }
-      s.body["apply"].push_back(std::move(op));
-      s.changes.emplace_back(std::move(key), c);
-    }
-    SPDLOG_DEBUG("transaction {}: {}", w.id, s.body["apply"].dump());
-  }
+  Outbox::Sent& s = outbox_.keep(w, model_);
+  SPDLOG_DEBUG("transaction {}: {}", w.id, s.body["apply"].dump());
   store_.txn(s.body, w.urgency, [this, id = w.id](const StoreAnswer& a) {
-    auto sent = sent_.find(id);
-    if (sent == sent_.end()) return;
+    Outbox::Sent* sent = outbox_.find(id);
+    if (sent == nullptr) return;
     Outcome outcome = Outcome::unknown;
     Stamp revision = a.body.is_object() ? a.body.value("ledger_rev", Stamp{0}) : 0;
     if (a.status == 200) {
       outcome = Outcome::applied;
-      for (const auto& [key, c] : sent->second.changes) {
+      for (const auto& [key, c] : sent->changes) {
         if (auto* phase = std::get_if<JobPhase>(&c.value)) intake_.note_final(key.substr(2), *phase);
       }
-      mirror_.applied(sent->second.changes, revision);
+      mirror_.applied(sent->changes, revision);
       known_revision_ = std::max(known_revision_, revision);
       peers_.tell();
     } else if (a.status == 409) {
@@ -320,8 +300,7 @@
       SPDLOG_ERROR("transaction {} malformed: {}", id, a.body.dump());
       outcome = Outcome::not_executed;
     }
-    if (outcome != Outcome::unknown) sent_.erase(sent);
-    scheduler_.on_outcome(id, outcome, revision, now());
+    if (!scheduler_.on_outcome(id, outcome, revision, now())) outbox_.drop(id);
   });
 }
 
--- a/src/service/trading.cpp
+++ b/src/service/trading.cpp
@@ -26,6 +26,7 @@
     fleet.take_in(h.name, h.address, rec);
   };
   desk_.on_returned = [&fleet](const std::vector<MachineIndex>& m, bool said) { fleet.on_deleted(m, said); };
+  desk_.on_unwanted = [&fleet](const std::vector<MachineIndex>& m) { fleet.drain(m); };
   fleet.set_source(&desk_);
 }
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -171,6 +171,64 @@
   EXPECT_DOUBLE_EQ(op.baseline_floor_s, 7);
 }
 
+TEST_F(Config, MarketsAreReadStrictly) {
+  const std::string good_markets =
+      "markets:\n  ceiling: {per_hour: 500, per_window: 2000}\n  teams: {red: {per_hour: 100}}\n  term_s: "
+      "900\n"
+      "  list:\n    - {name: north, address: \"127.0.0.1:9001\"}\n    - {name: south, address: "
+      "\"127.0.0.1:9002\", rps: 2}\n";
+  auto changed = [&](const std::string& from, const std::string& to) {
+    std::string s = good_markets;
+    std::size_t at = s.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return s.replace(at, from.size(), to);
+  };
+  std::string toml = write("good.toml", good);
+  auto c =
+      config::load(toml, {std::string(DEPLOY_DIR) + "/operator.yaml", write("markets.yaml", good_markets)});
+  ASSERT_EQ(c.markets.markets.size(), 2U);
+  EXPECT_EQ(c.names.markets.name(c.markets.markets[1].index), "south");
+  EXPECT_EQ(c.markets.all.per_window, market::to_money(2000));
+  EXPECT_EQ(c.markets.teams.at(PartIndex{1}).per_hour, market::to_money(100));
+  EXPECT_DOUBLE_EQ(c.markets.term_s, 900);
+  struct Case {
+    const char *from, *to, *error;
+  };
+  const Case cases[] = {
+      {"term_s: 900", "trem_s: 900", "markets.trem_s: unknown setting"},
+      {"per_hour: 500", "per_hour: 0", "markets.ceiling.per_hour: must be more than 0"},
+      {"per_hour: 500", "per_hour: -3", "markets.ceiling.per_hour: must be more than 0"},
+      {"per_hour: 500", "per_hour: .nan", "markets.ceiling.per_hour: must be more than 0"},
+      {"per_hour: 500", "per_day: 5", "markets.ceiling.per_day: unknown setting"},
+      {"per_hour: 500, ", "", "markets.ceiling.per_hour: missing"},
+      {"  ceiling: {per_hour: 500, per_window: 2000}\n", "", "markets.ceiling: missing"},
+      {"red: {per_hour", "green: {per_hour", "markets.teams.green: not a team"},
+      {"name: south", "name: north", "markets.list[1].name: named twice"},
+      {"name: south", "name: so.uth", "markets.list[1].name: not usable"},
+      {"127.0.0.1:9002", "nowhere", "markets.list[1].address: 'nowhere' is not"},
+      {"127.0.0.1:9002", "market:9002", "markets.list[1].address: 'market:9002' is not IPV4:PORT"},
+      {"127.0.0.1:9002", "127.0.0.1:0", "markets.list[1].address: '127.0.0.1:0' has no valid port"},
+      {"rps: 2", "rsp: 2", "markets.list[1].rsp: unknown setting"},
+      {"rps: 2", "rps: fast", "markets.list[1].rps: not a number"},
+  };
+  for (const Case& x : cases) {
+    std::string file = write("bad.yaml", changed(x.from, x.to));
+    std::string e = error_of(toml, file);
+    EXPECT_EQ(e.rfind(file + ": " + x.error, 0), 0U) << x.to << " <- " << e;
+    EXPECT_EQ(e.find('\n'), std::string::npos) << e;
+  }
+  EXPECT_NE(
+      error_of(toml, write("empty.yaml", "markets:\n  ceiling: {per_hour: 1, per_window: 1}\n  list: []\n"))
+          .find("markets.list: missing"),
+      std::string::npos);
+}
+
+TEST_F(Config, ShippedMarketsFileIsValid) {
+  auto c = config::load(write("good.toml", good), {std::string(DEPLOY_DIR) + "/markets.yaml"});
+  EXPECT_TRUE(c.markets.enabled());
+  EXPECT_FALSE(config::load(write("good.toml", good), {}).markets.enabled());
+}
+
 TEST_F(Config, ShippedOperatorsFileIsValidAndNamesTheDefaults) {
   auto op = operators(std::string(DEPLOY_DIR) + "/operator.yaml");
   OperatorSettings defaults;
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -104,6 +104,58 @@
   EXPECT_EQ(c.log.starts["run-1/0"], 1);
 }
 
+TEST(Fencing, UnansweredTransactionStaysInDoubtThroughARefusalOfItsRepeat) {
+  // The first copy is held back, the second gets 503: that says nothing of the first. Were its quota freed,
+  // other work could take it, and the first copy, applied late, would go over the team's limit.
+  Cluster c;
+  for (const char* m : {"m1", "m2", "m3", "m4"}) c.add_machine(m);
+  c.run(2);
+  c.submit(test_job("run-1", 2, 4));
+  c.node(0).sync(c.now);
+  c.node(0).fate = Fate::not_arrived;
+  c.node(0).pass(c.now);
+  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  c.node(0).fate = Fate::answered;
+  JobSpec other = test_job("run-2", 2, 4);
+  other.rank = Rank::high;
+  c.submit(other);
+  c.node(0).sync(c.now);
+  c.state.set_outage(true, c.now);
+  c.now += 0.5;
+  c.node(0).pass(c.now);
+  c.state.set_outage(false, c.now);
+  c.node(0).pass(c.now);
+  c.state.txn(c.node(0).lost[0]);
+  c.run(2);
+  std::size_t placed = 0;
+  for (const char* job : {"run-1", "run-2"}) {
+    for (TaskNo t : {0U, 1U}) placed += c.placed(job, t).size();
+  }
+  EXPECT_EQ(placed, 2U);  // of 4 GPUs each, and the team may use 8
+  EXPECT_TRUE(c.worker("m1").has("run-1/0") || c.worker("m2").has("run-1/0"));
+}
+
+TEST(Fencing, RepeatedTransactionIsTheOneFirstSentThoughItsJobIsGone) {
+  // Made anew from the tables it would name a job that they no longer hold: the controller ended by that.
+  Cluster c;
+  c.add_machine("m1");
+  c.run(2);
+  c.submit(test_job("run-1", 1, 4));
+  c.node(0).sync(c.now);
+  c.node(0).fate = Fate::not_arrived;
+  c.node(0).pass(c.now);
+  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/j/run-1"}}}}});
+  c.node(0).fate = Fate::answered;
+  c.state.set_outage(true, c.now);
+  c.now += 0.5;
+  c.node(0).pass(c.now);
+  c.state.set_outage(false, c.now);
+  c.node(0).sync(c.now);
+  EXPECT_NO_THROW(c.run(3));
+  EXPECT_TRUE(c.placed("run-1", 0).empty());
+}
+
 TEST(Fencing, UnansweredTransactionKeepsItsRoomAndIsRepeated) {
   // The answer is lost though the placement was made: room stays taken, and the repeat finds it done.
   Cluster c;
--- /dev/null
+++ b/tests/market_safety_test.cpp
@@ -0,0 +1,170 @@
+// Machines of markets beside jobs, leases and takeovers: a market's word frees nothing.
+#include <gtest/gtest.h>
+
+#include "standins/cluster.h"
+
+namespace oxbowmill {
+namespace {
+
+using standins::Cluster;
+using standins::test_job;
+
+lab::Character north() {
+  lab::Character c;
+  c.name = "north";
+  c.price = 8;
+  c.capacity = 20;
+  c.delivery_s = 5;
+  c.auction_s = 1;
+  return c;
+}
+
+struct Trading : Cluster {
+  explicit Trading(const lab::Character& c) {
+    trading.all = {market::to_money(1000), market::to_money(1000)};
+    trading.trial_share = 1;
+    add_market(c);
+  }
+  const std::string* running_on(const std::string& task) {
+    auto it = log.on.find(task);
+    return it == log.on.end() || it->second.empty() ? nullptr : &*it->second.begin();
+  }
+  bool runs(const std::string& task, double within) {
+    for (double t = 0; t < within && running_on(task) == nullptr; t += 0.5) run(0.5);
+    return running_on(task) != nullptr;
+  }
+};
+
+TEST(MarketSafety, JobRunsOnABoughtMachineWhichGoesBackAndIsPaid) {
+  Trading c(north());
+  c.submit(test_job("run-1", 1, 4));
+  ASSERT_TRUE(c.runs("run-1/0", 60));
+  std::string at = *c.running_on("run-1/0");
+  EXPECT_EQ(at.rfind("north.", 0), 0U);
+  c.worker(at).finish("run-1/0", EndCause::done);
+  c.run(120);
+  EXPECT_EQ(c.phase("run-1"), "done");
+  EXPECT_TRUE(c.markets[0].hosts().at(at).returned);
+  EXPECT_EQ(c.state.keys().count("o/m/" + at), 0U);
+  // The bid is over, and what it cost stands in the ledger.
+  for (const auto& [key, e] : c.state.keys()) EXPECT_NE(key.rfind("o/b/", 0), 0U) << key;
+  ASSERT_EQ(c.state.keys().count("o/l/ledger"), 1U);
+  double paid = c.state.keys().at("o/l/ledger").value.at("spent").at("red").get<double>() / 1e6;
+  EXPECT_NEAR(paid, c.markets[0].charged(c.now), 1e-4);
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
+TEST(MarketSafety, ReturnedMachineThatRunsOnKeepsItsTaskFromStartingElsewhere) {
+  // Its record is marked as to be returned while a task may be on it, and the market says that it is back.
+  // The machine runs on and its worker cannot be heard: only the lease proves that the task is off.
+  lab::Character liar = north();
+  liar.keeps_running = true;
+  Trading c(liar);
+  c.submit(test_job("run-1", 1, 4));
+  ASSERT_TRUE(c.runs("run-1/0", 60));
+  std::string at = *c.running_on("run-1/0");
+  c.silenced.insert(at);
+  auto record = c.state.keys().at("o/m/" + at);
+  record.value["del"] = true;
+  record.value["part"] = state::pool_name;
+  c.state.txn(
+      {{"guards", standins::Json::array()}, {"apply", {{{"put", "o/m/" + at}, {"value", record.value}}}}});
+  double lease = c.node(0).model.settings.lease_s;
+  for (double t = 0; t + 1 < lease; t += 0.5) {
+    c.run(0.5);
+    ASSERT_EQ(c.log.starts["run-1/0"], 1) << t;
+  }
+  EXPECT_TRUE(c.markets[0].hosts().at(at).returned);  // that is what the market says
+  EXPECT_EQ(c.state.keys().count("o/m/" + at), 1U);   // and nobody believes it
+  c.run(60);
+  EXPECT_EQ(c.log.starts["run-1/0"], 2);
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
+TEST(MarketSafety, ReturnedMachineThatStillReportsIsNotUsedUnderItsOldRecord) {
+  lab::Character liar = north();
+  liar.keeps_running = true;
+  Trading c(liar);
+  c.submit(test_job("run-1", 1, 4));
+  ASSERT_TRUE(c.runs("run-1/0", 60));
+  std::string at = *c.running_on("run-1/0");
+  c.worker(at).finish("run-1/0", EndCause::done);
+  c.run(60);
+  ASSERT_TRUE(c.markets[0].hosts().at(at).returned);
+  ASSERT_TRUE(c.markets[0].hosts().at(at).alive);
+  // The same leader knows that it gave the machine back; the next one takes it for a stranger, and either
+  // uses it or gives it back again: under a record, and so a token, of its own.
+  c.submit(test_job("run-2", 2, 4));
+  c.run(20);
+  c.kill_node(0);
+  c.node(1).claim_all(c.now);
+  c.run(120, 1);
+  for (const char* t : {"run-2/0", "run-2/1"}) EXPECT_GE(c.log.starts[t], 1) << t;
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
+TEST(MarketSafety, MachineOfAnotherZoneThanBidForStartsNothing) {
+  // The market says zone a, the machine says b: a job that may only run in a must not start there.
+  Trading c(north());
+  JobSpec spec = test_job("run-1", 1, 4);
+  spec.zone = ZoneIndex{0};
+  c.submit(spec);
+  c.state.txn({{"guards", standins::Json::array()},
+               {"apply",
+                {{{"put", "o/m/north.x1"},
+                  {"value",
+                   {{"part", "red"},
+                    {"type", "std"},
+                    {"zone", "a"},
+                    {"spot", false},
+                    {"del", false},
+                    {"market", "north"},
+                    {"bid", "node-0-1-b1"}}}}}}});
+  c.add_stranger("north.x1", "b");
+  c.run(8);
+  EXPECT_FALSE(c.worker("north.x1").has("run-1/0"));
+  ASSERT_TRUE(c.runs("run-1/0", 60));
+  EXPECT_NE(*c.running_on("run-1/0"), "north.x1");
+  EXPECT_EQ(c.state.keys().count("o/m/north.x1"), 0U);  // it went back
+}
+
+TEST(MarketSafety, TakeoverInAnAuctionNeitherLosesTheMachineNorRunsTwice) {
+  lab::Character slow = north();
+  slow.auction_s = 6;
+  slow.delivery_s = 10;
+  Trading c(slow);
+  c.submit(test_job("run-1", 2, 4));
+  c.run(5);  // bids are out, nothing is decided
+  c.kill_node(0);
+  c.node(1).claim_all(c.now);
+  std::size_t by_both = c.markets[0].hosts().size();
+  EXPECT_EQ(by_both, 0U);
+  for (double t = 0; t < 80 && (c.running_on("run-1/0") == nullptr || c.running_on("run-1/1") == nullptr);
+       t += 1)
+    c.run(1, 1);
+  EXPECT_NE(c.running_on("run-1/0"), nullptr);
+  EXPECT_NE(c.running_on("run-1/1"), nullptr);
+  EXPECT_EQ(c.markets[0].hosts().size(), 2U);  // followed, not bought again
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
+TEST(MarketSafety, MachinesOfAMarketThatOverchargesAreLeftAndGoBack) {
+  lab::Character liar = north();
+  liar.overcharge = 100;
+  Trading c(liar);
+  lab::Character honest = north();
+  honest.name = "south";
+  honest.price = 9;
+  c.add_market(honest);
+  c.submit(test_job("run-1", 1, 4));
+  ASSERT_TRUE(c.runs("run-1/0", 60));
+  ASSERT_EQ(c.running_on("run-1/0")->rfind("north.", 0), 0U);
+  c.run(60);
+  ASSERT_NE(c.running_on("run-1/0"), nullptr);
+  EXPECT_EQ(c.running_on("run-1/0")->rfind("south.", 0), 0U);
+  for (const auto& [name, h] : c.markets[0].hosts()) EXPECT_TRUE(h.returned) << name;
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
+}  // namespace
+}  // namespace oxbowmill
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -1,5 +1,7 @@
 #include "standins/cluster.h"
 
+#include "oxbowmill/wire/market_codec.h"
+
 namespace oxbowmill::standins {
 
 Settings test_settings(const std::string& node) {
@@ -99,22 +101,26 @@
   Effects out;
   scheduler.pass({now, now}, out);
   fleet.pass({now, now}, out);
+  if (desk) {
+    // Beside the markets the cloud has nothing to give.
+    for (const RentOrder& r : out.rents) fleet.on_rented(r.request, true, {}, now);
+    std::vector<market::Call> calls;
+    desk->pass({now, now}, out, calls);
+    for (const market::Call& call : calls) {
+      wire::MarketRequest r = wire::write_market_call(call, model.names);
+      lab::MarketReply reply =
+          markets_->at(call.market.v)
+              .handle(r.post ? "POST" : "GET", r.path, r.body.is_null() ? "" : wire::encode(r.body), now);
+      desk->on_answer(
+          call, wire::read_market_answer(call, reply.status, reply.body, reply.retry_after_s, model.names),
+          {now, now});
+    }
+  }
   for (const DirectOrders& d : out.direct) direct.push_back(d);
   rents.insert(rents.end(), out.rents.begin(), out.rents.end());
   deletes.insert(deletes.end(), out.deletes.begin(), out.deletes.end());
   for (const Write& w : out.writes) {
-    Json body = {{"guards", Json::array()}, {"apply", Json::array()}};
-    for (const Guard& g : w.txn.guards) {
-      body["guards"].push_back({{"k", state::encode_key(g.key, model)}, {"stamp", g.stamp}});
-    }
-    for (const Change& c : w.txn.changes) {
-      std::string key = state::encode_key(c.key, model);
-      if (c.removal()) {
-        body["apply"].push_back({{"delete", key}});
-      } else {
-        body["apply"].push_back({{"put", key}, {"value", state::encode_value(c, model)}});
-      }
-    }
+    Json body = outbox_.keep(w, model).body;
     if (fate == Fate::not_arrived) {
       lost.push_back(body);
       scheduler.on_outcome(w.id, Outcome::unknown, 0, now);
@@ -127,10 +133,23 @@
                       : r.status == 409         ? Outcome::refused
                                                 : Outcome::not_executed;
     if (outcome != Outcome::unknown) sync(now);
-    scheduler.on_outcome(w.id, outcome, r.body.value("ledger_rev", std::uint64_t{0}), now);
+    if (!scheduler.on_outcome(w.id, outcome, r.body.value("ledger_rev", std::uint64_t{0}), now))
+      outbox_.drop(w.id);
   }
 }
 
+void Controller::trade(const market::Settings& settings, std::vector<lab::Market>& markets) {
+  markets_ = &markets;
+  for (const market::MarketSettings& m : settings.markets) model.names.markets.intern(m.name);
+  desk = std::make_unique<market::Desk>(model, scheduler, settings);
+  desk->on_delivered = [this](const market::HostNews& h, const MachineRecord& rec) {
+    fleet.take_in(h.name, h.address, rec);
+  };
+  desk->on_returned = [this](const std::vector<MachineIndex>& m, bool said) { fleet.on_deleted(m, said); };
+  desk->on_unwanted = [this](const std::vector<MachineIndex>& m) { fleet.drain(m); };
+  fleet.set_source(desk.get());
+}
+
 Cluster::Cluster(int controllers) {
   for (int i = 0; i < controllers; ++i) {
     std::string name = "node-" + std::to_string(i);
@@ -151,6 +170,13 @@
   workers_[name] = std::make_unique<Worker>(name, zone, log);
 }
 
+void Cluster::add_market(const lab::Character& c) {
+  MarketIndex index{static_cast<std::uint32_t>(markets.size())};
+  trading.markets.push_back({c.name, index, "127.0.0.1:1", 50});
+  markets.emplace_back(c, 7, std::vector<std::string>{"std"}, std::vector<std::string>{"a", "b"});
+  for (auto& n : nodes_) n->trade(trading, markets);
+}
+
 void Cluster::submit(JobSpec spec) {
   spec.submitted_at = now;
   Json value = state::job_value(spec, JobPhase::open, nodes_[0]->model.names);
@@ -186,6 +212,17 @@
       c.sync(now);
     }
     c.pass(now);
+    for (lab::Market& m : markets) {
+      m.tick(now);
+      for (const auto& [name, h] : m.hosts()) {
+        if (h.alive && workers_.count(name) == 0) {
+          workers_[name] = std::make_unique<Worker>(name, h.zone, log);
+        } else if (!h.alive && workers_.count(name) != 0) {
+          workers_[name]->power_off();
+          silenced.insert(name);
+        }
+      }
+    }
     for (auto& [name, w] : workers_) {
       if (silenced.count(name) != 0) {
         w->tick(now);
--- a/tests/standins/cluster.h
+++ b/tests/standins/cluster.h
@@ -5,7 +5,9 @@
 #include <memory>
 
 #include "oxbowmill/core/fleet.h"
-#include "oxbowmill/state/keys.h"
+#include "oxbowmill/lab/market.h"
+#include "oxbowmill/market/desk.h"
+#include "oxbowmill/service/outbox.h"
 #include "standins/state.h"
 #include "standins/worker.h"
 
@@ -31,6 +33,8 @@
   void renew(double now);
   void pass(double now);
   ReportAnswer hear(const WorkerReport& r, double now) { return scheduler.on_report(r, {now, now}); }
+  /// Trades with these markets from now on; their names are known to the model.
+  void trade(const market::Settings& settings, std::vector<lab::Market>& markets);
 
   std::string name;
   Model model;
@@ -43,10 +47,13 @@
   std::vector<RentOrder> rents;
   std::vector<MachineIndex> deletes;
   int refused = 0;
+  std::unique_ptr<market::Desk> desk;
 
  private:
   State& state_;
   std::size_t heard_ = 0;
+  service::Outbox outbox_;
+  std::vector<lab::Market>* markets_ = nullptr;
 };
 
 /// Two controllers, a state service and workers, with time that only moves when told.
@@ -58,6 +65,10 @@
                    bool spot = false);
   /// A machine that reports though nobody has a record of it.
   void add_stranger(const std::string& name, const std::string& zone = "a");
+  /// All controllers trade with this market; machines that it delivers report.
+  void add_market(const lab::Character& c);
+  std::vector<lab::Market> markets;
+  market::Settings trading;
   Worker& worker(const std::string& name) { return *workers_.at(name); }
   void submit(JobSpec spec);
   /// The user's withdrawal; the status of its transaction.
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -75,6 +75,11 @@
   renewed_ = now;
 }
 
+void Worker::power_off() {
+  for (const auto& [id, t] : tasks_) log_.end(id, name_);
+  tasks_.clear();
+}
+
 void Worker::finish(const std::string& task, EndCause cause, bool saved) {
   TaskReport& t = tasks_.at(task);
   t.phase = TaskPhase::ended;
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -30,6 +30,8 @@
   bool command(const DirectOrders& d);
   /// Ends the session when the lease is over.
   void tick(double now);
+  /// The machine is gone, with all that ran on it.
+  void power_off();
   void finish(const std::string& task, EndCause cause, bool saved = false);
   void set_phase(const std::string& task, TaskPhase phase);
   bool has(const std::string& task) const;
