--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -3,11 +3,14 @@
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <thread>
 
 #include "oxbowmill/lab/experiment.h"
+#include "oxbowmill/lab/market_server.h"
 
 namespace {
 
@@ -43,6 +46,20 @@
   return 0;
 }
 
+int serve(const std::string& file, const std::string& name, const std::string& listen) {
+  lab::Scenario s = lab::load_scenario(file);
+  auto c = std::find_if(s.markets.begin(), s.markets.end(), [&](const lab::Character& x) { return x.name == name; });
+  if (c == s.markets.end()) throw std::runtime_error(file + ": markets: none is named " + name);
+  auto base = net::make_base();
+  auto start = std::chrono::steady_clock::now();
+  lab::MarketServer server(
+      base.get(), net::parse_bind_address(listen), lab::Market(*c, 1, {}, {}),
+      [start] { return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count(); });
+  std::cout << "market " << name << " listens on " << net::to_string(server.address()) << std::endl;
+  event_base_dispatch(base.get());
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -62,8 +79,14 @@
   m->add_option("--report", report, "file for the figures: .json by policy, else CSV by seed");
   m->add_option("--one", one, "play this seed alone (LOG_LEVEL=info tells what happens)");
   m->add_option("--policy", policy, "with --one: planner, cheapest, one, even or bound");
+  std::string name, listen = "127.0.0.1:0";
+  auto* one_market = app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
+  one_market->add_option("scenario", file, "scenario file (YAML)")->required();
+  one_market->add_option("name", name, "which of its markets")->required();
+  one_market->add_option("--listen", listen, "IPv4:port; port 0: the system's choice");
   try {
     app.parse(argc, argv);
+    if (one_market->parsed()) return serve(file, name, listen);
     return markets(file, seeds, threads, report, one, policy);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : 2;
--- a/src/market/desk.cpp
+++ b/src/market/desk.cpp
@@ -565,6 +565,10 @@
             std::find(answer.returned.begin(), answer.returned.end(), h) == answer.returned.end())
           continue;
         if (r->second.machine.valid()) back.push_back(r->second.machine);
+        // With the last of them the bid may be over, and its money free.
+        auto of = host_bid_.find(h);
+        auto bid = of == host_bid_.end() ? bids_.end() : bids_.find(of->second);
+        if (bid != bids_.end() && bid->second.state == BidState::running) bid->second.next_at = clock.now;
         returns_.erase(r);
       }
       if (!back.empty() && on_returned) on_returned(back, true);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <thread>
 
+#include "oxbowmill/lab/market_server.h"
 #include "oxbowmill/net/http.h"
 #include "oxbowmill/wire/codec.h"
 #include "standins/state.h"
@@ -43,6 +44,7 @@
   ~Loopback() override {
     stop_program();
     if (!file_.empty()) std::remove(file_.c_str());
+    if (!operators_.empty()) std::remove(operators_.c_str());
   }
 
   static double now() {
@@ -123,8 +125,10 @@
                 {"yards", {"a"}}}}}};
     } else if (r.path == "/rentals" && r.method == EVHTTP_REQ_POST) {
       Json hosts = Json::array();
-      if (!rented_) hosts.push_back("host-1");
-      rented_ = true;
+      if (!rented_) {
+        hosts.push_back("host-1");
+        rented_ = up_ = true;
+      }
       if (hosts.empty()) return r.responder->reply(503, wire::encode({{"error", "no capacity"}}));
       out = {{"hosts", hosts}};
     } else if (r.path == "/rentals") {
@@ -150,7 +154,7 @@
 
   /// The worker's side of one report, while the machine is rented.
   void report() {
-    if (!rented_ || reporting_) return;
+    if (!up_ || reporting_) return;
     reporting_ = true;
     request(EVHTTP_REQ_POST, "/hello", report_json(worker_.report(now())), [this](int status, const Json& j) {
       reporting_ = false;
@@ -201,7 +205,12 @@
     ASSERT_GE(pid_, 0);
     if (pid_ == 0) {
       dup2(log[1], STDERR_FILENO);
-      execl(PROGRAM, PROGRAM, "--config", file_.c_str(), static_cast<char*>(nullptr));
+      if (operators_.empty()) {
+        execl(PROGRAM, PROGRAM, "--config", file_.c_str(), static_cast<char*>(nullptr));
+      } else {
+        execl(PROGRAM, PROGRAM, "--operator", operators_.c_str(), "--config", file_.c_str(),
+              static_cast<char*>(nullptr));
+      }
       _exit(127);
     }
     close(log[1]);
@@ -262,10 +271,11 @@
   std::size_t watched_ = 0, watched_from_ = 0;
   double watch_since_ = 0, watch_hold_s_ = 0.5;
   int job_reads_ = 0;
-  bool rented_ = false, reporting_ = false, timed_out_ = false;
+  bool rented_ = false;  // the cloud has no more
+  bool up_ = false, reporting_ = false, timed_out_ = false;
   net::Timer limit_, poll_;
   std::function<void()> step_;
-  std::string file_;
+  std::string file_, operators_;
   pid_t pid_ = -1;
 };
 
@@ -455,5 +465,77 @@
   stop_program();
 }
 
+TEST_F(Loopback, ProgramKilledInAnAuctionFollowsItsBid) {
+  // The cloud has nothing; one market holds a long auction, another takes requests in and never answers.
+  lab::Character slow;
+  slow.name = "north";
+  slow.price = 2;
+  slow.auction_s = 4;
+  slow.delivery_s = 1;
+  lab::Character mute = slow;
+  mute.name = "south";
+  mute.price = 1;
+  mute.stall = 1;
+  double start = now();
+  auto clock = [start] { return now() - start; };
+  net::Address any{"127.0.0.1", 0};
+  lab::MarketServer north(base_.get(), any, lab::Market(slow, 1, {"std"}, {"a"}), clock);
+  lab::MarketServer south(base_.get(), any, lab::Market(mute, 2, {"std"}, {"a"}), clock);
+  std::set<std::string> bids;
+  int not_durable = 0;
+  north.on_request = [&](const Request& r) {
+    if (r.path != "/bids") return;
+    std::string bid = Json::from_cbor(r.body).at("bid").get<std::string>();
+    bids.insert(bid);
+    not_durable += state_.keys().count("o/b/" + bid) == 0 ? 1 : 0;
+  };
+  operators_ = ::testing::TempDir() + "oxbowmill-markets-" + std::to_string(::getpid()) + ".yaml";
+  std::ofstream(operators_) << "give_back_s: 1\nidle_keep_s: 1\nmarkets:\n  answer_s: 1\n  trial_share: 1\n  spare_share: 0\n"
+                               "  ceiling: {per_hour: 100, per_window: 100}\n  list:\n"
+                            << "    - {name: north, address: \"" << net::to_string(north.address()) << "\"}\n"
+                            << "    - {name: south, address: \"" << net::to_string(south.address()) << "\"}\n";
+  rented_ = true;
+  start_program();
+  int up = 0, status = 0;
+  bool asking = false;
+  Json answer;
+  auto ask = [&](evhttp_cmd_type m, const std::string& path, const Json& body, int& to) {
+    if (asking) return;
+    asking = true;
+    request(m, path, body, [&](int s, const Json& j) {
+      asking = false;
+      to = s;
+      answer = j;
+    });
+  };
+  until([&] { return up == 200; }, [&] { ask(EVHTTP_REQ_GET, "/up", Json(), up); });
+  Json job = submission("run-1");
+  job["loaners"] = false;
+  until([&] { return status == 201; }, [&] { ask(EVHTTP_REQ_POST, "/submissions", job, status); });
+  until([&] { return !bids.empty(); }, [] {});
+  stop_program();
+  EXPECT_TRUE(north.market().hosts().empty());  // killed before the auction was over
+  start_program();
+  standins::Worker bought("north.m1", "a", log_);
+  worker_ = std::move(bought);
+  worker_.lease_s = 6;
+  until([&] { return worker_.has("run-1/0") && worker_.has("run-1/1"); },
+        [&] {
+          north.market().tick(clock());
+          up_ = up_ || !north.market().hosts().empty();
+        });
+  EXPECT_EQ(bids.size(), 1U);  // the second controller followed the first one's bid instead of making another
+  EXPECT_EQ(not_durable, 0);
+  for (const char* t : {"run-1/0", "run-1/1"}) worker_.finish(t, EndCause::done);
+  until([&] { return answer.value("phase", "") == "done"; },
+        [&] { ask(EVHTTP_REQ_GET, "/submissions/run-1", Json(), status); });
+  // The machine goes back, and what it cost takes the place of what was committed.
+  until([&] { return state_.keys().count("o/l/ledger") == 1; }, [] {});
+  EXPECT_TRUE(north.market().hosts().at("north.m1").returned);
+  for (const auto& [key, e] : state_.keys()) EXPECT_NE(key.rfind("o/b/", 0), 0U) << key;
+  EXPECT_TRUE(log_.twice.empty());
+  EXPECT_EQ(waitpid(pid_, nullptr, WNOHANG), 0);
+}
+
 }  // namespace
 }  // namespace oxbowmill
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -9,7 +9,7 @@
 }
 
 Worker::Worker(std::string name, std::string zone, RunLog& log, bool spot)
-    : name_(std::move(name)), zone_(std::move(zone)), spot_(spot), log_(log) {}
+    : name_(std::move(name)), zone_(std::move(zone)), spot_(spot), log_(&log) {}
 
 WorkerReport Worker::report(double now) {
   if (renewed_ < 0) renewed_ = now;
@@ -58,7 +58,7 @@
       t.attempt = o.attempt;
       t.phase = TaskPhase::running;
       tasks_[id] = t;
-      log_.start(id, name_);
+      log_->start(id, name_);
     } else if (o.verb == OrderVerb::kill && same && it->second.phase != TaskPhase::ended) {
       finish(id, EndCause::stopped, saves && o.wind_down_s > 0);
     } else if (o.verb == OrderVerb::clear && same && it->second.phase == TaskPhase::ended) {
@@ -69,14 +69,14 @@
 
 void Worker::tick(double now) {
   if (renewed_ < 0 || now - renewed_ <= lease_s) return;
-  for (const auto& [id, t] : tasks_) log_.end(id, name_);
+  for (const auto& [id, t] : tasks_) log_->end(id, name_);
   tasks_.clear();
   ++tenure_;
   renewed_ = now;
 }
 
 void Worker::power_off() {
-  for (const auto& [id, t] : tasks_) log_.end(id, name_);
+  for (const auto& [id, t] : tasks_) log_->end(id, name_);
   tasks_.clear();
 }
 
@@ -85,7 +85,7 @@
   t.phase = TaskPhase::ended;
   t.cause = cause;
   t.saved = saved;
-  log_.end(task, name_);
+  log_->end(task, name_);
 }
 
 void Worker::set_phase(const std::string& task, TaskPhase phase) {
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -47,7 +47,7 @@
   void execute(const std::vector<Order>& orders);
   std::string name_, zone_;
   bool spot_;
-  RunLog& log_;
+  RunLog* log_;
   std::map<std::string, TaskReport> tasks_;
   std::uint64_t tenure_ = 1, serial_ = 0, token_ = 0, asked_tenure_ = 0;
   double sent_at_ = 0, renewed_ = -1;
