--- a/include/oxbowmill/market/settings.h
+++ b/include/oxbowmill/market/settings.h
@@ -29,6 +29,8 @@
   MarketIndex index;
   std::string address;  // "IPv4:port"
   double rps = 4;       // requests a second to it
+  bool paused = false;   // no new bids; open ones are followed and machines go back
+  bool forgive = false;  // trade though it was shut out
 };
 
 struct Settings {
--- a/include/oxbowmill/market/venue.h
+++ b/include/oxbowmill/market/venue.h
@@ -66,7 +66,7 @@
   bool set_state(VenueState to, const std::string& why);
   VenueState state() const { return state_; }
   /// New bids may be sent.
-  bool open_for_business() const { return state_ == VenueState::trading; }
+  bool open_for_business() const { return state_ == VenueState::trading && !market_.paused; }
   /// A question or a bid may be sent now, as far as its pauses and its rate go; takes one of its turns.
   bool turn(Seconds now);
   /// What an answer says of the market itself; its content is read elsewhere.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -251,6 +251,8 @@
       e.fail("address", why.what());
     }
     e.number("rps", x.rps, 0.1, 1000);
+    e.flag("paused", x.paused);
+    e.flag("forgive", x.forgive);
     e.done();
     x.index = names.markets.intern(x.name);
     s.markets.push_back(std::move(x));
--- a/src/market/venue.cpp
+++ b/src/market/venue.cpp
@@ -137,7 +137,7 @@
 
 void MarketVenue::read_durable(const MarketRecord& r) {
   whole_ = Trust(r.evidence);
-  if (r.shut) {
+  if (r.shut && !market_.forgive) {
     why_shut_ = r.why;
     set_state(VenueState::shut, r.why);
   }
