--- a/tests/market_desk_test.cpp
+++ b/tests/market_desk_test.cpp
@@ -191,6 +191,28 @@
   EXPECT_EQ(w.result().guaranteed_in_time, 1U);
 }
 
+TEST(MarketDesk, CeilingHoldsWhateverThePlanSays) {
+  Scenario s = one_job({named("north"), named("south")});
+  s.settings.all = {market::to_money(60), market::to_money(30)};
+  Play w(s);
+  w.add_job(5, 12);
+  w.step();
+  ASSERT_NE(w.desk(), nullptr);
+  w.desk()->planner = [](const auto& demands, const auto& offers, const auto&, double, const auto&) {
+    market::Plan p;
+    for (std::size_t d = 0; d < demands.size(); ++d) {
+      for (std::size_t o = 0; o < offers.size(); ++o) p.awards.push_back({d, o, 5, false});
+    }
+    p.unmet.resize(demands.size());
+    return p;
+  };
+  w.steps(300);
+  EXPECT_GT(delivered(w), 0U);
+  EXPECT_EQ(w.breaches, 0);
+  EXPECT_LE(w.highest_hour, 1);
+  EXPECT_LE(w.highest_use, 1);
+}
+
 TEST(MarketDesk, AllMarketsSilentLeavesTheCloudAndTheMoneyCommitted) {
   Character m = named("north"), n = named("south", 7);
   m.deaf = n.deaf = 1;
