--- a/include/oxbowmill/lab/market_world.h
+++ b/include/oxbowmill/lab/market_world.h
@@ -40,7 +40,7 @@
   std::uint32_t bought = 0, unused = 0;  // machines of markets
   double cost = 0;
   int breaches = 0;  // moments at which paid and committed stood above the ceiling
-  int disputes = 0, shut = 0;
+  int shut = 0;        // markets that the last leader had shut out
 };
 
 class MarketWorld {
@@ -102,6 +102,7 @@
     std::uint64_t term = 0;
   };
   std::vector<Need> needs_now(std::vector<std::size_t>& of) const;
+  std::vector<std::size_t> by_urgency() const;
   void write(const Write& w);
   bool apply(const Transaction& t, Stamp& revision);
   void tell(const Change& c, Stamp revision);
@@ -110,7 +111,6 @@
   void work_on();
   void rent(const std::vector<Need>& needs, const std::vector<std::uint32_t>& tasks);
   void check();
-  market::Desk* traded() { return desk(); }
   std::vector<CloudOffer> cloud_offers() const;
 
   Scenario scenario_;
--- a/src/lab/market_world.cpp
+++ b/src/lab/market_world.cpp
@@ -328,6 +328,17 @@
            scenario_.cloud_capacity - used}};
 }
 
+std::vector<std::size_t> MarketWorld::by_urgency() const {
+  std::vector<std::size_t> order(jobs_.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
+    const Work &x = jobs_[a].work, &y = jobs_[b].work;
+    return std::make_tuple(!x.guaranteed, -static_cast<int>(x.rank), x.at + x.due_s) <
+           std::make_tuple(!y.guaranteed, -static_cast<int>(y.rank), y.at + y.due_s);
+  });
+  return order;
+}
+
 std::vector<Need> MarketWorld::needs_now(std::vector<std::size_t>& of) const {
   std::vector<Need> needs;
   std::map<PartIndex, std::uint32_t> supply;
@@ -339,13 +350,7 @@
       for (const auto& e : leader_->desk.expected(PartIndex{p}, now)) supply[PartIndex{p}] += e.machines;
     }
   }
-  std::vector<std::size_t> order(jobs_.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
-    const Work &x = jobs_[a].work, &y = jobs_[b].work;
-    return std::make_tuple(!x.guaranteed, -static_cast<int>(x.rank), x.at + x.due_s) <
-           std::make_tuple(!y.guaranteed, -static_cast<int>(y.rank), y.at + y.due_s);
-  });
+  std::vector<std::size_t> order = by_urgency();
   for (std::size_t i : order) {
     const Job& j = jobs_[i];
     PartIndex part{static_cast<std::uint32_t>(1 + i % 2)};
@@ -405,13 +410,7 @@
     }
     it = lost ? machines_.erase(it) : std::next(it);
   }
-  std::vector<std::size_t> order(jobs_.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
-    const Work &x = jobs_[a].work, &y = jobs_[b].work;
-    return std::make_tuple(!x.guaranteed, -static_cast<int>(x.rank), x.at + x.due_s) <
-           std::make_tuple(!y.guaranteed, -static_cast<int>(y.rank), y.at + y.due_s);
-  });
+  std::vector<std::size_t> order = by_urgency();
   for (auto& [name, m] : machines_) {
     if (m.busy_until >= 0 || now < m.ready_at) continue;
     for (std::size_t i : order) {
