--- a/src/market/planner.cpp
+++ b/src/market/planner.cpp
@@ -379,9 +379,10 @@
 
 double Prices::comes(const Demand& d, const Offer& o, const Settings& s) {
   double slack = std::isfinite(d.slack_s) ? d.slack_s : s.patience_s;
-  double later = std::max(slack, 0.0) + s.patience_s;
-  double chance =
-      moment_share * o.punctuality.within(slack) + (1 - moment_share) * o.punctuality.within(later);
+  // Work that is late already is still worth having there soon: what cannot be in time is not left for ever.
+  double later = std::max(slack, 0.0) + o.promised_s + s.patience_s;
+  double moment = moment_share * std::clamp(slack / s.patience_s, 0.0, 1.0);
+  double chance = moment * o.punctuality.within(slack) + (1 - moment) * o.punctuality.within(later);
   return o.share * chance;
 }
 
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -241,6 +241,24 @@
     node_ = {};
   }
 
+  /// Runs the users' command line beside the loop; its exit code, and what it wrote.
+  int oxbow(const std::string& args, std::string& out) {
+    std::string file = ::testing::TempDir() + "oxbow-out-" + std::to_string(::getpid());
+    std::string command =
+        "OXBOW_NODES=" + net::to_string(node_) + " " + OXBOW + " " + args + " >" + file + " 2>&1";
+    pid_t child = fork();
+    if (child == 0) {
+      execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
+      _exit(127);
+    }
+    int status = 0;
+    until([&] { return waitpid(child, &status, WNOHANG) == child; }, [] {});
+    std::ifstream in(file);
+    out.assign(std::istreambuf_iterator<char>(in), {});
+    std::remove(file.c_str());
+    return WEXITSTATUS(status);
+  }
+
   /// Runs the loop until `done`, with a bound that only a hang reaches.
   void until(std::function<bool()> done, std::function<void()> step) {
     step_ = [this, done, step] {
@@ -490,10 +508,11 @@
     not_durable += state_.keys().count("o/b/" + bid) == 0 ? 1 : 0;
   };
   operators_ = ::testing::TempDir() + "oxbowmill-markets-" + std::to_string(::getpid()) + ".yaml";
-  std::ofstream(operators_) << "give_back_s: 1\nidle_keep_s: 1\nmarkets:\n  answer_s: 1\n  trial_share: 1\n  spare_share: 0\n"
-                               "  ceiling: {per_hour: 100, per_window: 100}\n  list:\n"
-                            << "    - {name: north, address: \"" << net::to_string(north.address()) << "\"}\n"
-                            << "    - {name: south, address: \"" << net::to_string(south.address()) << "\"}\n";
+  std::ofstream(operators_)
+      << "give_back_s: 1\nidle_keep_s: 1\nmarkets:\n  answer_s: 1\n  trial_share: 1\n  spare_share: 0\n"
+         "  ceiling: {per_hour: 100, per_window: 100}\n  list:\n"
+      << "    - {name: north, address: \"" << net::to_string(north.address()) << "\"}\n"
+      << "    - {name: south, address: \"" << net::to_string(south.address()) << "\"}\n";
   rented_ = true;
   start_program();
   int up = 0, status = 0;
@@ -537,5 +556,56 @@
   EXPECT_EQ(waitpid(pid_, nullptr, WNOHANG), 0);
 }
 
+TEST_F(Loopback, CommandLineSubmitsWaitsAndWithdraws) {
+  start_program();
+  std::string out, job = ::testing::TempDir() + "oxbow-job-" + std::to_string(::getpid()) + ".yaml";
+  std::ofstream(job)
+      << "ref: run-1\njobclass: c\nshards: 2\naccelerators: 1\nbundle: img\nsize_gb: 1\nloaners: true\n";
+  int up = 0;
+  bool asking = false;
+  until([&] { return up == 200; },
+        [&] {
+          if (asking) return;
+          asking = true;
+          request(EVHTTP_REQ_GET, "/up", Json(), [&](int s, const Json&) {
+            asking = false;
+            up = s;
+          });
+        });
+  struct Case {
+    std::string args;
+    int code;
+    const char* says;
+  };
+  const Case before[] = {
+      {"--team red submit " + job, 0, "run-1 queued"},
+      {"--team red submit " + job, 0, "run-1 "},  // again: the same job
+      {"--team nobody submit " + job + " --ref run-2", 3, "can never run"},
+      {"submit " + job, 2, "owner: missing"},
+      {"--team red submit " + job + " --shards many", 2, "--shards: not of the right kind"},
+      {"--team red submit /no/such/file", 2, "/no/such/file"},
+      {"status run-77", 4, "no such job"},
+      {"--json status run-77", 4, "\"again\":false"},
+      {"status", 2, "ref is required"},
+      {"--nodes nowhere status run-1", 2, "'nowhere' is not HOST:PORT"},
+      {"--nodes 127.0.0.1:1 --patience 1 status run-1", 5, "no node took it in time"},
+      {"--help", 0, "withdraw"},
+  };
+  for (const Case& c : before) {
+    EXPECT_EQ(oxbow(c.args, out), c.code) << c.args << ": " << out;
+    EXPECT_NE(out.find(c.says), std::string::npos) << c.args << ": " << out;
+  }
+  until([&] { return worker_.has("run-1/0") && worker_.has("run-1/1"); }, [] {});
+  EXPECT_EQ(oxbow("wait run-1 --within 1", out), 6) << out;
+  for (const char* t : {"run-1/0", "run-1/1"}) worker_.finish(t, EndCause::done);
+  EXPECT_EQ(oxbow("--json wait run-1", out), 0) << out;
+  EXPECT_NE(out.find("\"phase\":\"done\""), std::string::npos) << out;
+  EXPECT_EQ(oxbow("--team red submit " + job + " --ref run-3", out), 0) << out;
+  EXPECT_EQ(oxbow("withdraw run-3", out), 0) << out;
+  EXPECT_EQ(oxbow("status run-3", out), 1) << out;
+  EXPECT_NE(out.find("run-3 cancelled"), std::string::npos) << out;
+  std::remove(job.c_str());
+}
+
 }  // namespace
 }  // namespace oxbowmill
--- a/tests/market_test.cpp
+++ b/tests/market_test.cpp
@@ -408,6 +408,26 @@
   EXPECT_DOUBLE_EQ(Prices::limit(d, drifting, 10, s), 11);
 }
 
+TEST(MarketPlans, WorkThatIsLateIsStillBought) {
+  // Judged by its last moment alone it was worth nothing any more, and waited for ever.
+  for (Claim c : {Claim::guaranteed, Claim::high, Claim::standard, Claim::starved, Claim::best_effort}) {
+    for (double slack : {-1000.0, -1.0, 10.0}) {
+      Settings s;
+      s.all = {to_money(1000), 0};
+      Demand d;
+      d.claim = c;
+      d.part = red;
+      d.per_machine = {1};
+      d.machines = 3;
+      d.run_s = 300;
+      d.slack_s = slack;
+      Ledger l(s);
+      Plan p = make_plan({d}, {offer(MarketIndex{}, 10, 10, 60, 1), offer(north, 9, 10, 90, 0.95)}, l, 10, s);
+      EXPECT_EQ(p.unmet[0], 0U) << name_of(c) << " " << slack;
+    }
+  }
+}
+
 TEST(MarketPlans, NeedsThatAreAlikeAreOneDemand) {
   Settings s;
   std::vector<Need> needs(4);
