--- a/tests/market_safety_test.cpp
+++ b/tests/market_safety_test.cpp
@@ -1,5 +1,6 @@
 // Machines of markets beside jobs, leases and takeovers: a market's word frees nothing.
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "standins/cluster.h"
 
@@ -7,6 +8,7 @@
 namespace {
 
 using standins::Cluster;
+using standins::Fate;
 using standins::test_job;
 
 lab::Character north() {
@@ -166,5 +168,67 @@
   EXPECT_TRUE(c.log.twice.empty());
 }
 
+RC_GTEST_PROP(MarketSafetyProps, NoTaskIsOnTwoMachinesThroughAnyMixtureOfFaults, ()) {
+  lab::Character a = north(), b = north();
+  b.name = "south";
+  for (lab::Character* c : {&a, &b}) {
+    c->keeps_running = *rc::gen::arbitrary<bool>();
+    c->never = *rc::gen::inRange(0, 3) / 5.0;
+    c->late = *rc::gen::inRange(0, 3) / 5.0;
+    c->wrong = *rc::gen::inRange(0, 3) / 5.0;
+    c->twice = *rc::gen::inRange(0, 3) / 5.0;
+    c->stall = *rc::gen::inRange(0, 3) / 5.0;
+    c->overcharge = *rc::gen::element(1.0, 1.0, 100.0);
+  }
+  Trading c(a);
+  c.add_market(b);
+  std::size_t owner = 0;
+  auto moves = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+      rc::gen::tuple(rc::gen::inRange(0, 9), rc::gen::inRange(0, 8), rc::gen::inRange(1, 30)));
+  int jobs = 0;
+  auto nth = [&](int n) -> std::string {
+    std::vector<std::string> names;
+    for (const auto& m : c.markets) {
+      for (const auto& [name, h] : m.hosts()) {
+        if (h.alive) names.push_back(name);
+      }
+    }
+    return names.empty() ? "" : names[static_cast<std::size_t>(n) % names.size()];
+  };
+  c.submit(test_job("run-" + std::to_string(jobs++), 2, 4));
+  for (auto [what, which, steps] : moves) {
+    std::string host = nth(which);
+    switch (what) {
+      case 0: c.submit(test_job("run-" + std::to_string(jobs++), 1 + which % 2, 4)); break;
+      case 1: c.withdraw("run-" + std::to_string(which)); break;
+      case 2:  // the other controller takes over, the first one finds out when it can
+        c.kill_node(owner);
+        owner = 1 - owner;
+        c.node(owner).hold.lost();
+        c.node(owner).claim_all(c.now);
+        break;
+      case 3: c.state.set_outage(!c.state.outage(), c.now); break;
+      case 4:
+        if (!host.empty()) c.silenced.insert(host);
+        break;
+      case 5: c.silenced.erase(host); break;
+      case 6: c.node(owner).fate = Fate::answer_lost; break;
+      case 7: c.node(owner).fate = Fate::not_arrived; break;
+      case 8: {
+        // A transaction that was held back arrives.
+        auto& lost = c.node(owner).lost;
+        if (!lost.empty()) c.state.txn(lost[static_cast<std::size_t>(which) % lost.size()]);
+        break;
+      }
+    }
+    for (int i = 0; i < steps; ++i) {
+      c.run(0.5, owner);
+      RC_ASSERT(c.log.twice.empty());
+    }
+    c.node(owner).fate = Fate::answered;
+  }
+  RC_CLASSIFY(!c.log.starts.empty(), "something ran");
+}
+
 }  // namespace
 }  // namespace oxbowmill
