--- a/app/oxbow.cpp
+++ b/app/oxbow.cpp
@@ -1,6 +1,5 @@
 // The users' command line: submit, ask, wait and withdraw.
 #include <spdlog/spdlog.h>
-#include <yaml-cpp/yaml.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
@@ -9,6 +8,7 @@
 
 #include "oxbowmill/client/client.h"
 #include "oxbowmill/version.h"
+#include "oxbowmill/yaml/map.h"
 
 namespace {
 
@@ -30,7 +30,7 @@
     case Verdict::unknown:
       return Exit::unknown;
     case Verdict::again:
-      return o.reason == "not over in time" ? Exit::late : Exit::unavailable;
+      return o.out_of_time ? Exit::late : Exit::unavailable;
   }
   return Exit::unavailable;
 }
@@ -61,12 +61,7 @@
 }
 
 void read_job(const std::string& file, Json& job) {
-  YAML::Node root;
-  try {
-    root = YAML::LoadFile(file);
-  } catch (const YAML::Exception& e) {
-    throw std::invalid_argument(file + ": cannot be read as YAML: " + e.msg);
-  }
+  YAML::Node root = yaml::load(file);
   if (!root.IsMap()) throw std::invalid_argument(file + ": not a map of fields");
   for (const auto& e : root) {
     auto key = e.first.as<std::string>();
--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -24,12 +24,10 @@
             unsigned long long one, const std::string& policy) {
   lab::Scenario s = lab::load_scenario(file);
   if (one != 0) {
-    for (lab::Policy p : {lab::Policy::planner, lab::Policy::cheapest, lab::Policy::one, lab::Policy::even,
-                          lab::Policy::bound}) {
-      if (policy != lab::name_of(p)) continue;
-      auto rows = std::vector<lab::Row>{{p, one, lab::MarketWorld(s, p, one).run()}};
-      std::cout << lab::table(s.name, lab::summarise(rows));
-    }
+    auto p = std::find_if(std::begin(lab::policies), std::end(lab::policies),
+                          [&](lab::Policy x) { return policy == lab::name_of(x); });
+    if (p == std::end(lab::policies)) throw std::runtime_error("--policy: none is named " + policy);
+    std::cout << lab::table(s.name, lab::summarise({{*p, one, lab::MarketWorld(s, *p, one).run()}}));
     return 0;
   }
   auto rows = lab::play(s, seeds, threads);
@@ -48,13 +46,14 @@
 
 int serve(const std::string& file, const std::string& name, const std::string& listen) {
   lab::Scenario s = lab::load_scenario(file);
-  auto c = std::find_if(s.markets.begin(), s.markets.end(), [&](const lab::Character& x) { return x.name == name; });
+  auto c = std::find_if(s.markets.begin(), s.markets.end(),
+                        [&](const lab::Character& x) { return x.name == name; });
   if (c == s.markets.end()) throw std::runtime_error(file + ": markets: none is named " + name);
   auto base = net::make_base();
   auto start = std::chrono::steady_clock::now();
-  lab::MarketServer server(
-      base.get(), net::parse_bind_address(listen), lab::Market(*c, 1, {}, {}),
-      [start] { return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count(); });
+  lab::MarketServer server(base.get(), net::parse_bind_address(listen), lab::Market(*c, 1, {}, {}), [start] {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+  });
   std::cout << "market " << name << " listens on " << net::to_string(server.address()) << std::endl;
   event_base_dispatch(base.get());
   return 0;
@@ -80,7 +79,8 @@
   m->add_option("--one", one, "play this seed alone (LOG_LEVEL=info tells what happens)");
   m->add_option("--policy", policy, "with --one: planner, cheapest, one, even or bound");
   std::string name, listen = "127.0.0.1:0";
-  auto* one_market = app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
+  auto* one_market =
+      app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
   one_market->add_option("scenario", file, "scenario file (YAML)")->required();
   one_market->add_option("name", name, "which of its markets")->required();
   one_market->add_option("--listen", listen, "IPv4:port; port 0: the system's choice");
--- a/include/oxbowmill/client/client.h
+++ b/include/oxbowmill/client/client.h
@@ -22,6 +22,7 @@
   JobStatus status;    // with `ok`
   std::string reason;  // otherwise, in words
   int tries = 0;
+  bool out_of_time = false;  // of a wait: the job goes on
 };
 using ReplyFn = std::function<void(const Reply&)>;
 
--- a/include/oxbowmill/config/config.h
+++ b/include/oxbowmill/config/config.h
@@ -1,20 +1,17 @@
 // The platform's TOML file and the operators' YAML file, checked.
 #pragma once
 
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "oxbowmill/core/settings.h"
 #include "oxbowmill/market/settings.h"
 #include "oxbowmill/net/http.h"
+#include "oxbowmill/yaml/map.h"
 
 namespace oxbowmill::config {
 
-/// One line that names file, key and reason.
-struct Error : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using Error = yaml::Error;
 
 struct Peer {
   std::string node;
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -155,6 +155,8 @@
   Machine& machine(MachineIndex m) { return machines_[m.v]; }
   const Machine& machine(MachineIndex m) const { return machines_[m.v]; }
   MachineIndex intern_machine(const std::string& name);
+  /// None where the state service holds no record of it.
+  MachineIndex find_recorded(const std::string& name) const;
   TypeIndex intern_type(const std::string& name);
   std::uint32_t machine_count() const { return static_cast<std::uint32_t>(machines_.size()); }
   const std::set<JobIndex>& live_jobs(PartIndex part) const { return live_[part.v]; }
--- a/include/oxbowmill/core/records.h
+++ b/include/oxbowmill/core/records.h
@@ -56,6 +56,7 @@
   double sent_by = 0;    // time of day after which it is no longer sent for the first time
   double deliver_s = 0;  // from the bid to the promised delivery
   std::map<PartIndex, std::uint32_t> machines;  // for each part
+  Kind kind() const { return {type, zone, spot}; }
   std::uint32_t count() const {
     std::uint32_t n = 0;
     for (const auto& [part, k] : machines) n += k;
--- a/include/oxbowmill/core/types.h
+++ b/include/oxbowmill/core/types.h
@@ -1,6 +1,7 @@
 // Shared vocabulary of the scheduler: dense indices, amounts and the facts of jobs and machines.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -104,6 +105,9 @@
   double estimate_s = 0, save_every_s = 0, flush_s = 0;
   double deadline_s = -1;   // below 0: none
   double submitted_at = 0;  // time of day
+  bool allows(TypeIndex type) const {
+    return types.empty() || std::find(types.begin(), types.end(), type) != types.end();
+  }
 };
 
 struct MachineType {
--- a/include/oxbowmill/lab/market.h
+++ b/include/oxbowmill/lab/market.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "oxbowmill/wire/codec.h"
+#include "oxbowmill/wire/market_codec.h"
 
 namespace oxbowmill::lab {
 
@@ -44,6 +44,8 @@
   Market(Character c, std::uint64_t seed, std::vector<std::string> types, std::vector<std::string> zones);
 
   MarketReply handle(const std::string& method, const std::string& path, const std::string& body, double now);
+  /// The same by a desk's call, through the codec both ways.
+  market::Answer ask(const market::Call& c, const Names& names, double now);
   /// Auctions end, machines are delivered, terms run out.
   void tick(double now);
 
--- a/include/oxbowmill/lab/market_world.h
+++ b/include/oxbowmill/lab/market_world.h
@@ -10,6 +10,7 @@
 namespace oxbowmill::lab {
 
 enum class Policy : std::uint8_t { planner, cheapest, one, even, bound };
+constexpr Policy policies[] = {Policy::planner, Policy::cheapest, Policy::one, Policy::even, Policy::bound};
 const char* name_of(Policy p);
 
 struct Work {
@@ -40,7 +41,7 @@
   std::uint32_t bought = 0, unused = 0;  // machines of markets
   double cost = 0;
   int breaches = 0;  // moments at which paid and committed stood above the ceiling
-  int shut = 0;        // markets that the last leader had shut out
+  int shut = 0;      // markets that the last leader had shut out
 };
 
 class MarketWorld {
@@ -101,7 +102,7 @@
     market::Answer answer;
     std::uint64_t term = 0;
   };
-  std::vector<Need> needs_now(std::vector<std::size_t>& of) const;
+  std::vector<Need> needs_now() const;
   std::vector<std::size_t> by_urgency() const;
   void write(const Write& w);
   bool apply(const Transaction& t, Stamp& revision);
@@ -116,7 +117,7 @@
   Scenario scenario_;
   Policy policy_;
   std::mt19937_64 random_;
-  Names names_;
+  Model known_;  // names that all leaders share; its tables stay empty
   std::vector<MachineType> catalog_;
   std::unique_ptr<Leader> leader_;
   std::uint64_t terms_ = 0;
--- a/include/oxbowmill/market/bid.h
+++ b/include/oxbowmill/market/bid.h
@@ -50,13 +50,11 @@
   Money charged = 0;            // as the market says
   std::uint32_t came = 0;       // machines delivered, as it says
   std::uint32_t usable = 0;     // of these, the ones that are what was bid for
-  std::uint32_t expects = 0;    // machines that are still to come
   std::set<std::string> hosts;  // delivered under this bid
   bool want_withdraw = false;   // as soon as the state allows it
   bool disputed = false;
-  bool late = false;    // its machines did not come in time
-  bool judged = false;  // its outcome has been counted in the market's trust
-  bool durable = false;
+  bool late = false;     // its machines did not come in time
+  bool judged = false;   // its outcome has been counted in the market's trust
   bool adopted = false;  // an earlier leader's
   Stamp stamp = 0;
   int silent = 0;  // calls in a row without an answer
--- a/include/oxbowmill/market/desk.h
+++ b/include/oxbowmill/market/desk.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <memory>
 
-#include "oxbowmill/core/scheduler.h"
+#include "oxbowmill/core/fleet.h"
 #include "oxbowmill/market/venue.h"
 
 namespace oxbowmill::market {
@@ -57,7 +57,7 @@
   void take_hosts(Bid& b, const BidNews& news, Clock clock);
   void check_charge(Bid& b, Money charged, Seconds now);
   void decide_raise(Bid& b, const BidNews& news);
-  void judge(Bid& b, Clock clock);
+  void judge(Bid& b);
   void finish(Bid& b, Money charged, const std::string& why);
   void dispute(Bid& b, const std::string& why);
   void read_charges(MarketVenue& v, const Answer& a, Seconds now);
@@ -65,6 +65,7 @@
   void tend_venues(Clock clock, std::vector<Call>& calls);
   void send_returns(Clock clock, std::vector<Call>& calls);
   bool ask(const Bid& b, CallKind kind, Clock clock, std::vector<Call>& calls);
+  void send(Call c, Clock clock, std::vector<Call>& calls);
   bool overdue(const Bid& b, Seconds now) const;
   bool doubted(const Bid& b, Seconds now) const;
   void set_patience(Bid& b) const;
@@ -72,12 +73,13 @@
   void hold_back_spare(std::vector<Demand>& demands, Seconds now) const;
   void note_unmet(const std::vector<Demand>& demands, const Plan& plan, Seconds now);
   double reference_price() const;
-  MarketVenue* known_venue(MarketIndex m);
+  MarketVenue* known_venue(MarketIndex m) const;
 
   Model& model_;
   Scheduler& scheduler_;
   const Settings& settings_;
   Ledger ledger_;
+  CloudVenue cloud_;
   std::vector<std::unique_ptr<MarketVenue>> venues_;  // by market; those that are not configured are null
   std::map<std::string, Bid> bids_;
   std::map<std::string, std::string> host_bid_;  // who delivered it
@@ -87,13 +89,16 @@
   Seconds wanted_at_ = -1e9, wanted_since_ = 0;
   Stamp term_ = 0;  // the leader's claim that this state belongs to; 0: not leading
   std::uint64_t names_ = 0, calls_ = 0;
-  std::map<std::uint64_t, Seconds> out_;            // calls without an answer, and when they were sent
-  std::map<std::string, std::uint64_t> bid_calls_;  // by bid: the one that is out
-  std::map<std::pair<std::uint32_t, CallKind>, std::uint64_t> market_calls_;
+  std::map<std::uint64_t, Seconds> out_;  // calls without an answer, and when they were sent
+  std::set<std::string> bid_calls_;       // bids with a call that is out
+  std::set<std::pair<std::uint32_t, CallKind>> market_calls_;
   bool settling_ = false;
   Seconds next_plan_ = 0, unmet_logged_ = -1e9;
   std::uint32_t unmet_guarantee_ = 0;
   bool short_of_money_ = false;  // for work within a guarantee
 };
 
+/// The desk buys for this fleet from now on, and the fleet takes in what it is delivered.
+void connect(Desk& desk, Fleet& fleet);
+
 }  // namespace oxbowmill::market
--- a/include/oxbowmill/market/venue.h
+++ b/include/oxbowmill/market/venue.h
@@ -34,13 +34,15 @@
 /// The platform's cloud: its price is posted, it says at once what it gives, and renting stays the fleet's.
 class CloudVenue : public Venue {
  public:
-  explicit CloudVenue(const std::vector<CloudOffer>& offers) : offers_(offers) {}
+  /// What it offers now.
+  void post(const std::vector<CloudOffer>& offers) { offers_ = offers; }
   void offers(Seconds now, std::vector<Offer>& out) const override;
   void buy(const Award& a, const Offer& o, const Demand& d, const std::vector<Need>& needs, double reference,
            Purchases& out) const override;
 
  private:
-  const std::vector<CloudOffer>& offers_;
+  std::vector<CloudOffer> offers_;
+  mutable std::map<Seconds, Punctuality> tables_;  // by what is promised
 };
 
 enum class VenueState : std::uint8_t {
@@ -106,7 +108,8 @@
     Seconds ends = 0;
   };
   std::vector<Quote> quotes_;
-  mutable std::map<std::pair<Kind, int>, std::pair<double, Punctuality>> tables_;
+  std::uint64_t learnt_ = 1;  // rises with each delivery that was judged
+  mutable std::map<std::pair<Kind, int>, std::pair<std::uint64_t, Punctuality>> tables_;
   Seconds paused_until_ = 0, asked_quotes_ = -1e9, refilled_ = 0;
   double turns_ = 1;
   int failures_ = 0;
--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -38,7 +38,7 @@
     // A 200 that cannot be read is no answer.
     bool good = body && body->contains("ref") && (*body)["ref"].is_string() && body->contains("phase") &&
                 (*body)["phase"].is_string();
-    if (!good) return Reply{Verdict::again, {}, "an answer that cannot be read", 0};
+    if (!good) return Reply{Verdict::again, {}, "an answer that cannot be read", 0, false};
     o.status.ref = (*body)["ref"].get<std::string>();
     o.status.phase = (*body)["phase"].get<std::string>();
     auto count = [&](const char* key) {
@@ -188,6 +188,7 @@
     if (!over) {
       last.verdict = Verdict::again;
       last.reason = "not over in time";
+      last.out_of_time = true;
     }
     ReplyFn fn = std::move(w.fn);
     waits_.erase(it);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,14 +2,13 @@
 
 #include <arpa/inet.h>
 #include <toml++/toml.h>
-#include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <optional>
 
 #include "oxbowmill/state/keys.h"
+#include "oxbowmill/yaml/map.h"
 
 namespace oxbowmill::config {
 
@@ -119,95 +118,31 @@
   return flags;
 }
 
-}  // namespace
-
-namespace {
-
-/// One map of the operators' file: every key is read once, and what is left over is an error.
-class YamlMap {
- public:
-  YamlMap(const std::string& file, const std::string& at, const YAML::Node& n) : file_(file), at_(at) {
-    if (!n.IsMap()) throw Error(file + ": " + (at.empty() ? "" : at + ": ") + "not a map of settings");
-    for (const auto& e : n) left_[e.first.as<std::string>()] = e.second;
-  }
-  [[noreturn]] void fail(const std::string& key, const std::string& why) const {
-    throw Error(file_ + ": " + path(key) + ": " + why);
-  }
-  std::string path(const std::string& key) const { return at_.empty() ? key : at_ + "." + key; }
-  std::optional<YAML::Node> take(const std::string& key) {
-    auto it = left_.find(key);
-    if (it == left_.end()) return std::nullopt;
-    YAML::Node n = it->second;
-    left_.erase(it);
-    return n;
-  }
-  YamlMap sub(const std::string& key, const YAML::Node& n) const { return {file_, path(key), n}; }
-  void number(const std::string& key, double& out, double least, double most) {
-    auto n = take(key);
-    if (!n) return;
-    double v = 0;
-    try {
-      v = n->as<double>();
-    } catch (const YAML::Exception&) {
-      fail(key, "not a number");
-    }
-    if (!std::isfinite(v) || v < least || v > most) {
-      fail(key, "must be from " + YAML::Dump(YAML::Node(least)) + " to " + YAML::Dump(YAML::Node(most)));
-    }
-    out = v;
-  }
-  void flag(const std::string& key, bool& out) {
-    auto n = take(key);
-    if (!n) return;
-    try {
-      out = n->as<bool>();
-    } catch (const YAML::Exception&) {
-      fail(key, "not true or false");
-    }
-  }
-  std::string text(const std::string& key) {
-    auto n = take(key);
-    if (!n || !n->IsScalar() || n->Scalar().empty()) fail(key, "missing or not text");
-    return n->Scalar();
-  }
-  /// An amount of money above 0; nothing where the key is missing.
-  std::optional<Money> money(const std::string& key) {
-    constexpr double most = 1e9;
-    auto n = take(key);
-    if (!n) return std::nullopt;
-    double v = 0;
-    try {
-      v = n->as<double>();
-    } catch (const YAML::Exception&) {
-      fail(key, "not a number");
-    }
-    if (!(v > 0) || v > most)
-      fail(key, "must be more than 0, and " + YAML::Dump(YAML::Node(most)) + " at most");
-    return market::to_money(v);
-  }
-  std::vector<std::string> keys() const {
-    std::vector<std::string> out;
-    for (const auto& [k, n] : left_) out.push_back(k);
-    return out;
-  }
-  void done() const {
-    if (!left_.empty()) fail(left_.begin()->first, "unknown setting");
+/// An amount of money above 0; 0 where the key is missing.
+Money read_money(yaml::Map& m, const std::string& key) {
+  constexpr double most = 1e9;
+  auto n = m.take(key);
+  if (!n) return 0;
+  double v = 0;
+  try {
+    v = n->as<double>();
+  } catch (const YAML::Exception&) {
+    m.fail(key, "not a number");
   }
+  if (!(v > 0) || v > most)
+    m.fail(key, "must be more than 0, and " + YAML::Dump(YAML::Node(most)) + " at most");
+  return market::to_money(v);
+}
 
- private:
-  std::string file_, at_;
-  std::map<std::string, YAML::Node> left_;
-};
-
-market::Ceiling read_ceiling(YamlMap m) {
+market::Ceiling read_ceiling(yaml::Map m) {
   market::Ceiling c;
-  c.per_hour = m.money("per_hour").value_or(0);
-  c.per_window = m.money("per_window").value_or(0);
+  c.per_hour = read_money(m, "per_hour");
+  c.per_window = read_money(m, "per_window");
   m.done();
   return c;
 }
 
-void read_markets(YamlMap m, market::Settings& s, Names& names) {
+void read_markets(yaml::Map m, market::Settings& s, Names& names) {
   constexpr double day = 86400;
   m.number("window_s", s.window_s, 60, 366 * day);
   m.number("term_s", s.term_s, 60, 7 * day);
@@ -225,7 +160,7 @@
   if (s.all.per_hour == 0) m.fail("ceiling.per_hour", "missing");
   if (s.all.per_window == 0) m.fail("ceiling.per_window", "missing");
   if (auto teams = m.take("teams")) {
-    YamlMap t = m.sub("teams", *teams);
+    yaml::Map t = m.sub("teams", *teams);
     for (const std::string& name : t.keys()) {
       PartIndex part = names.parts.find(name);
       if (!part.valid() || part == pool_part) t.fail(name, "not a team");
@@ -235,7 +170,7 @@
   auto list = m.take("list");
   if (!list || !list->IsSequence() || list->size() == 0) m.fail("list", "missing or not a list of markets");
   for (std::size_t i = 0; i < list->size(); ++i) {
-    YamlMap e = m.sub("list[" + std::to_string(i) + "]", (*list)[i]);
+    yaml::Map e = m.sub("list[" + std::to_string(i) + "]", (*list)[i]);
     market::MarketSettings x;
     x.name = e.text("name");
     if (!wire::valid_id(x.name) || x.name.find('.') != std::string::npos)
@@ -263,14 +198,9 @@
 }  // namespace
 
 void load_operator(const std::string& file, OperatorSettings& op, market::Settings& markets, Names& names) {
-  YAML::Node root;
-  try {
-    root = YAML::LoadFile(file);
-  } catch (const YAML::Exception& e) {
-    throw Error(file + ": cannot be read as YAML: " + e.msg);
-  }
+  YAML::Node root = yaml::load(file);
   if (root.IsNull()) return;
-  YamlMap m(file, "", root);
+  yaml::Map m(file, "", root);
   for (const auto& [key, k] : yaml_keys()) m.number(key, op.*k.field, k.least, k.most);
   for (const auto& [key, flag] : yaml_flags()) m.flag(key, op.*flag);
   if (auto n = m.take("markets")) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -491,10 +491,9 @@
     n.slack_s = spec.submitted_at + spec.deadline_s - spec.estimate_s - fetch - clock.wall;
   }
   for (std::uint32_t t = 0; t < model_.catalog.size(); ++t) {
-    bool allowed = spec.types.empty() ||
-                   std::find(spec.types.begin(), spec.types.end(), TypeIndex{t}) != spec.types.end();
-    n.per_machine.push_back(
-        allowed ? static_cast<std::uint32_t>(how_many_fit(spec.need, model_.catalog[t].room)) : 0);
+    n.per_machine.push_back(spec.allows(TypeIndex{t})
+                                ? static_cast<std::uint32_t>(how_many_fit(spec.need, model_.catalog[t].room))
+                                : 0);
   }
   needs_.push_back(std::move(n));
 }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -51,6 +51,11 @@
   return m;
 }
 
+MachineIndex Model::find_recorded(const std::string& name) const {
+  MachineIndex m = names.machines.find(name);
+  return m.valid() && m.v < machines_.size() && machines_[m.v].stamp != 0 ? m : MachineIndex{};
+}
+
 TypeIndex Model::intern_type(const std::string& name) {
   TypeIndex t = names.types.intern(name);
   if (catalog_known() && t.v >= catalog.size()) catalog.resize(t.v + 1);
@@ -73,9 +78,7 @@
 double Model::share_of_machine(const JobSpec& spec) const {
   int most = 1;
   for (std::uint32_t t = 0; t < catalog.size(); ++t) {
-    bool allowed = spec.types.empty() ||
-                   std::find(spec.types.begin(), spec.types.end(), TypeIndex{t}) != spec.types.end();
-    if (allowed) most = std::max(most, how_many_fit(spec.need, catalog[t].room));
+    if (spec.allows(TypeIndex{t})) most = std::max(most, how_many_fit(spec.need, catalog[t].room));
   }
   return 1.0 / most;
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -7,7 +7,7 @@
 bool allowed_on(const JobSpec& spec, TypeIndex type, ZoneIndex zone, bool spot) {
   if (spot && !spec.spot) return false;
   if (spec.zone.valid() && spec.zone != zone) return false;
-  return spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), type) != spec.types.end();
+  return spec.allows(type);
 }
 
 bool can_ever_run(const JobSpec& spec, const std::vector<MachineType>& catalog) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -139,8 +139,8 @@
   Authority authority = hold_.authority(clock.now);
   if (!model_.catalog_known()) return a;
   notice_takeovers(clock.now);
-  MachineIndex mi = model_.names.machines.find(r.machine);
-  bool recorded = mi.valid() && mi.v < model_.machine_count() && model_.machine(mi).stamp != 0;
+  MachineIndex mi = model_.find_recorded(r.machine);
+  bool recorded = mi.valid();
   PartIndex part = recorded ? model_.machine(mi).rec.part : pool_part;
   if (!owns(part)) {
     const Claim& c = model_.claim(part);
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -10,7 +10,6 @@
 namespace oxbowmill::lab {
 
 namespace {
-constexpr Policy policies[] = {Policy::planner, Policy::cheapest, Policy::one, Policy::even, Policy::bound};
 
 double median(std::vector<double> v) {
   if (v.empty()) return 0;
--- a/src/lab/market.cpp
+++ b/src/lab/market.cpp
@@ -96,6 +96,13 @@
   return r;
 }
 
+market::Answer Market::ask(const market::Call& c, const Names& names, double now) {
+  wire::MarketRequest r = wire::write_market_call(c, names);
+  MarketReply reply =
+      handle(r.post ? "POST" : "GET", r.path, r.body.is_null() ? "" : wire::encode(r.body), now);
+  return wire::read_market_answer(c, reply.status, reply.body, reply.retry_after_s, names);
+}
+
 Json Market::quotes(const Json& body, double now) {
   Json out = Json::array();
   std::uint32_t free = c_.capacity > busy() ? c_.capacity - busy() : 0;
--- a/src/lab/market_world.cpp
+++ b/src/lab/market_world.cpp
@@ -1,13 +1,11 @@
 #include "oxbowmill/lab/market_world.h"
 
-#include <yaml-cpp/yaml.h>
-
 #include <algorithm>
 #include <cmath>
 #include <numeric>
 
 #include "oxbowmill/state/keys.h"
-#include "oxbowmill/wire/market_codec.h"
+#include "oxbowmill/yaml/map.h"
 
 namespace oxbowmill::lab {
 
@@ -23,6 +21,15 @@
   s.op.hold_life_s = hold_life_s;
   return s;
 }
+
+Names world_names() {
+  Names n;
+  n.parts.intern(state::pool_name);
+  for (const char* p : part_names) n.parts.intern(p);
+  for (const char* z : {"a", "b"}) n.zones.intern(z);
+  n.types.intern("std");
+  return n;
+}
 }  // namespace
 
 const char* name_of(Policy p) {
@@ -32,52 +39,9 @@
 
 // --- Scenario files.
 
-namespace {
-/// Reads the keys of one map; what is left over at the end is an error.
-class Reader {
- public:
-  Reader(std::string file, std::string at, const YAML::Node& n) : file_(std::move(file)), at_(std::move(at)) {
-    if (!n.IsMap()) throw std::runtime_error(file_ + ": " + at_ + ": not a map");
-    for (const auto& e : n) left_[e.first.as<std::string>()] = e.second;
-  }
-  template <class T>
-  Reader& get(const char* key, T& out) {
-    auto it = left_.find(key);
-    if (it == left_.end()) return *this;
-    try {
-      out = it->second.as<T>();
-    } catch (const YAML::Exception&) {
-      throw std::runtime_error(file_ + ": " + at_ + key + ": not of the right kind");
-    }
-    left_.erase(it);
-    return *this;
-  }
-  YAML::Node node(const char* key) {
-    auto it = left_.find(key);
-    YAML::Node n = it == left_.end() ? YAML::Node(YAML::NodeType::Undefined) : it->second;
-    left_.erase(key);
-    return n;
-  }
-  void done() const {
-    if (!left_.empty())
-      throw std::runtime_error(file_ + ": " + at_ + left_.begin()->first + ": unknown setting");
-  }
-
- private:
-  std::string file_, at_;
-  std::map<std::string, YAML::Node> left_;
-};
-}  // namespace
-
 Scenario load_scenario(const std::string& file) {
-  YAML::Node root;
-  try {
-    root = YAML::LoadFile(file);
-  } catch (const YAML::Exception& e) {
-    throw std::runtime_error(file + ": cannot be read as YAML: " + e.msg);
-  }
   Scenario s;
-  Reader r(file, "", root);
+  yaml::Map r(file, "", yaml::load(file));
   double hour = 0, window = 0;
   r.get("name", s.name).get("length_s", s.length_s).get("drop_at_s", s.drop_at_s).get("jobs", s.jobs);
   r.get("most_machines", s.most_machines).get("run_s", s.run_s).get("slack_s", s.slack_s);
@@ -86,11 +50,11 @@
   r.get("cloud_ready_s", s.cloud_ready_s).get("per_hour", hour).get("per_window", window);
   r.get("term_s", s.settings.term_s).get("spare_share", s.settings.spare_share);
   s.settings.all = {market::to_money(hour), market::to_money(window)};
-  YAML::Node markets = r.node("markets");
+  YAML::Node markets = r.take("markets").value_or(YAML::Node(YAML::NodeType::Undefined));
   r.done();
   for (std::size_t i = 0; markets && i < markets.size(); ++i) {
     Character c;
-    Reader m(file, "markets[" + std::to_string(i) + "].", markets[i]);
+    yaml::Map m = r.sub("markets[" + std::to_string(i) + "]", markets[i]);
     m.get("name", c.name).get("price", c.price).get("capacity", c.capacity).get("delivery_s", c.delivery_s);
     m.get("delivery_spread", c.delivery_spread).get("valid_s", c.valid_s).get("auction_s", c.auction_s);
     m.get("bad_from_s", c.bad_from_s).get("bad_to_s", c.bad_to_s).get("raise_chance", c.raise_chance);
@@ -145,7 +109,6 @@
   std::iota(order.begin(), order.end(), 0);
   std::stable_sort(order.begin(), order.end(),
                    [&](std::size_t a, std::size_t b) { return offers[a].quoted < offers[b].quoted; });
-  std::map<PartIndex, std::uint32_t> paid;  // machines of this plan, at the reference price
   std::vector<std::size_t> urgent(demands.size());
   std::iota(urgent.begin(), urgent.end(), 0);
   std::stable_sort(urgent.begin(), urgent.end(),
@@ -183,13 +146,13 @@
 // --- The world.
 
 MarketWorld::Leader::Leader(MarketWorld& w, std::uint64_t term)
-    : model(controller_settings(term, 1e9), w.names_),
+    : model(controller_settings(term, 1e9), w.known_.names),
       hold(model.settings),
       scheduler(model, hold),
       desk(model, scheduler, w.settings) {
   model.catalog = w.catalog_;
-  for (std::uint32_t m = 0; m < w.names_.machines.size(); ++m)
-    model.intern_machine(w.names_.machines.name(MachineIndex{m}));
+  for (std::uint32_t m = 0; m < w.known_.names.machines.size(); ++m)
+    model.intern_machine(w.known_.names.machines.name(MachineIndex{m}));
   for (const auto& [key, e] : w.store_) model.apply(e.change, e.stamp, w.now);
   hold.opened(term, w.now);
   hold.watch_answered(w.now + 1e9);
@@ -197,11 +160,11 @@
 }
 
 MarketWorld::MarketWorld(const Scenario& s, Policy policy, std::uint64_t seed)
-    : settings(s.settings), scenario_(s), policy_(policy), random_(seed) {
-  names_.parts.intern(state::pool_name);
-  for (const char* p : part_names) names_.parts.intern(p);
-  for (const char* z : {"a", "b"}) names_.zones.intern(z);
-  names_.types.intern("std");
+    : settings(s.settings),
+      scenario_(s),
+      policy_(policy),
+      random_(seed),
+      known_(controller_settings(0, 1), world_names()) {
   MachineType type;
   type.room = {8, 1, 64};
   type.price = s.cloud_price;
@@ -211,7 +174,7 @@
   catalog_ = {type};
   settings.markets.clear();
   for (const Character& c : s.markets) {
-    settings.markets.push_back({c.name, names_.markets.intern(c.name), "127.0.0.1:1", 20});
+    settings.markets.push_back({c.name, known_.names.markets.intern(c.name), "127.0.0.1:1", 20});
     markets.emplace_back(c, random_(), std::vector<std::string>{"std"}, std::vector<std::string>{"a", "b"});
   }
   std::uniform_real_distribution<> part(0, 1);
@@ -247,8 +210,7 @@
 bool MarketWorld::apply(const Transaction& t, Stamp& revision) {
   auto key_of = [&](const Key& k) {
     if (std::holds_alternative<ClaimKey>(k)) return std::string("claim");
-    Model known(controller_settings(0, 1), names_);
-    return state::encode_key(k, known);
+    return state::encode_key(k, known_);
   };
   for (const Guard& g : t.guards) {
     auto it = store_.find(key_of(g.key));
@@ -297,10 +259,7 @@
 }
 
 market::Answer MarketWorld::ask_market(const market::Call& c) {
-  wire::MarketRequest r = wire::write_market_call(c, names_);
-  MarketReply reply = markets[c.market.v].handle(r.post ? "POST" : "GET", r.path,
-                                                 r.body.is_null() ? "" : wire::encode(r.body), now - 1000);
-  return wire::read_market_answer(c, reply.status, reply.body, reply.retry_after_s, names_);
+  return markets[c.market.v].ask(c, known_.names, now - 1000);
 }
 
 void MarketWorld::send(const market::Call& c) {
@@ -339,7 +298,7 @@
   return order;
 }
 
-std::vector<Need> MarketWorld::needs_now(std::vector<std::size_t>& of) const {
+std::vector<Need> MarketWorld::needs_now() const {
   std::vector<Need> needs;
   std::map<PartIndex, std::uint32_t> supply;
   for (const auto& [name, m] : machines_) {
@@ -350,8 +309,7 @@
       for (const auto& e : leader_->desk.expected(PartIndex{p}, now)) supply[PartIndex{p}] += e.machines;
     }
   }
-  std::vector<std::size_t> order = by_urgency();
-  for (std::size_t i : order) {
+  for (std::size_t i : by_urgency()) {
     const Job& j = jobs_[i];
     PartIndex part{static_cast<std::uint32_t>(1 + i % 2)};
     std::uint32_t n = j.pending - std::min(j.pending, supply[part]);
@@ -367,7 +325,6 @@
     need.slack_s = 1000 + j.work.at + j.work.due_s - j.work.run_s - now;
     need.waited_s = now - 1000 - j.work.at;
     needs.push_back(need);
-    of.push_back(i);
   }
   return needs;
 }
@@ -479,7 +436,7 @@
     // What the earlier leader had marked as to be returned, it may not have returned.
     for (std::uint32_t m = 0; m < leader_->model.machine_count(); ++m) {
       const auto& known = leader_->model.machine(MachineIndex{m});
-      if (known.stamp != 0 && machines_.count(names_.machines.name(MachineIndex{m})) == 0)
+      if (known.stamp != 0 && machines_.count(known_.names.machines.name(MachineIndex{m})) == 0)
         d.give_back({MachineIndex{m}}, now);
     }
     d.planner = [this](const auto& demands, const auto& offers, const auto& ledger, double reference,
@@ -493,8 +450,7 @@
       }
       market::Plan p =
           baseline(policy_, scenario_.markets, now - 1000, demands, offers, ledger, reference, s);
-      std::vector<std::size_t> of;
-      for (const Need& n : needs_now(of)) wanted[n.part] += n.tasks;
+      for (const Need& n : needs_now()) wanted[n.part] += n.tasks;
       for (const market::Award& a : p.awards) awarded[demands[a.demand].part] += a.machines;
       for (const auto& [part, n] : awarded) {
         double most = (1 + s.spare_share) * wanted[part] + 2;
@@ -504,10 +460,10 @@
     };
     d.on_delivered = [this](const market::HostNews& h, const MachineRecord& rec) {
       // One index for all leaders: what is stored names machines by it.
-      MachineIndex mi = names_.machines.intern(h.name);
+      MachineIndex mi = known_.names.machines.intern(h.name);
       while (leader_->model.names.machines.size() <= mi.v)
         leader_->model.intern_machine(
-            names_.machines.name(MachineIndex{leader_->model.names.machines.size()}));
+            known_.names.machines.name(MachineIndex{leader_->model.names.machines.size()}));
       Stamp at = 0;
       apply({{}, {{MachineKey{mi}, rec}}}, at);
       Machine m;
@@ -518,7 +474,7 @@
     };
     d.on_unwanted = [this](const std::vector<MachineIndex>& ms) {
       for (MachineIndex m : ms) {
-        auto it = machines_.find(names_.machines.name(m));
+        auto it = machines_.find(known_.names.machines.name(m));
         if (it == machines_.end()) continue;
         if (it->second.busy_until >= 0) {
           --jobs_[it->second.job].running;
@@ -548,8 +504,7 @@
     Effects out;
     std::vector<market::Call> calls;
     leader_->scheduler.pass({now, now}, out);
-    std::vector<std::size_t> of;
-    std::vector<Need> needs = needs_now(of);
+    std::vector<Need> needs = needs_now();
     rent(needs, leader_->desk.plan(needs, cloud_offers(), {now, now}, out));
     leader_->desk.pass({now, now}, out, calls);
     for (const Write& w : out.writes) write(w);
--- a/src/market/desk.cpp
+++ b/src/market/desk.cpp
@@ -34,7 +34,7 @@
   }
 }
 
-MarketVenue* Desk::known_venue(MarketIndex m) {
+MarketVenue* Desk::known_venue(MarketIndex m) const {
   return m.valid() && m.v < venues_.size() ? venues_[m.v].get() : nullptr;
 }
 
@@ -95,10 +95,8 @@
     b.name = name;
     b.rec = entry.rec;
     b.stamp = entry.stamp;
-    b.durable = true;
     b.state = BidState::in_doubt;
     b.adopted = true;
-    b.expects = b.rec.count();
     b.bid_at = clock.now;
     b.due_at = clock.now + std::max(0.0, b.rec.sent_by + b.rec.deliver_s - clock.wall);
     b.rate = b.rec.limit;
@@ -133,8 +131,8 @@
 void Desk::set_patience(Bid& b) const {
   Seconds promised = b.due_at - b.bid_at;
   Seconds doubted = promised, overdue = promised;
-  if (b.rec.market.v < venues_.size() && venues_[b.rec.market.v]) {
-    Trust t = venues_[b.rec.market.v]->trust({b.rec.type, b.rec.zone, b.rec.spot});
+  if (const MarketVenue* v = known_venue(b.rec.market)) {
+    Trust t = v->trust(b.rec.kind());
     Seconds longest = promised + settings_.patience_s;
     doubted = std::max(promised, std::min(t.delay_at(promised, doubted_chance), longest));
     overdue = std::max(promised, std::min(t.delay_at(promised, late_chance), longest));
@@ -253,17 +251,15 @@
   if (!quoted && might && clock.now - wanted_since_ < first_quotes_s) return buys.cloud_tasks;
   next_plan_ = clock.now + plan_interval_s;
 
-  CloudVenue posted(cloud);
+  cloud_.post(cloud);
   std::vector<Offer> offers;
-  posted.offers(clock.now, offers);
+  cloud_.offers(clock.now, offers);
   for (auto& v : venues_) {
-    if (!v) continue;
-    v->overdue.clear();
+    if (v) v->overdue.clear();
   }
   for (const auto& [name, b] : bids_) {
     MarketVenue* v = known_venue(b.rec.market);
-    if (v != nullptr && !b.judged && overdue(b, clock.now))
-      v->overdue[{b.rec.type, b.rec.zone, b.rec.spot}] += missing(b);
+    if (v != nullptr && !b.judged && overdue(b, clock.now)) v->overdue[b.rec.kind()] += missing(b);
   }
   for (const auto& v : venues_) {
     if (v) v->offers(clock.now, offers);
@@ -274,7 +270,7 @@
   Plan plan = planner(demands, offers, ledger_, reference, settings_);
   for (const Award& a : plan.awards) {
     const Offer& o = offers[a.offer];
-    const Venue& v = o.market.valid() ? static_cast<const Venue&>(*venues_[o.market.v]) : posted;
+    const Venue& v = o.market.valid() ? static_cast<const Venue&>(*venues_[o.market.v]) : cloud_;
     v.buy(a, o, demands[a.demand], needs, reference, buys);
   }
   note_unmet(demands, plan, clock.now);
@@ -332,7 +328,6 @@
   b.quoted = d.offer.quoted;
   b.quote = d.offer.quote;
   b.quote_ends = d.offer.quote_ends;
-  b.expects = b.rec.count();
   b.due_at = clock.now + d.offer.promised_s;
   SPDLOG_INFO("bid {}: {} machines in {}{} on {} at {:.3f}, limit {:.3f}, for {} work; at worst {:.2f}",
               b.name, b.rec.count(), model_.names.zones.name(b.rec.zone), b.rec.spot ? ", spot," : "",
@@ -349,7 +344,6 @@
     if (term != term_ || it == bids_.end() || it->second.state != BidState::committing) return;
     auto entry = model_.money.bids.find(name);
     if (entry != model_.money.bids.end()) {
-      it->second.durable = true;
       it->second.stamp = entry->second.stamp;
       set_state(it->second, BidState::committed, "its worst case is durable");
     } else {
@@ -432,22 +426,30 @@
   MarketVenue* v = known_venue(b.rec.market);
   if (v == nullptr || bid_calls_.count(b.name) != 0 || !v->turn(clock.now)) return false;
   Call c;
-  c.id = ++calls_;
   c.market = b.rec.market;
   c.kind = kind;
   c.bid = b.name;
   c.quote = b.quote;
-  c.kinds = {{b.rec.type, b.rec.zone, b.rec.spot}};
+  c.kinds = {b.rec.kind()};
   c.count = b.rec.count();
   c.limit = b.rec.limit;
   c.term_s = b.rec.term_s;
   c.deliver_s = b.rec.deliver_s;
   c.round = b.round;
   c.rate = b.asked_rate;
+  send(std::move(c), clock, calls);
+  return true;
+}
+
+void Desk::send(Call c, Clock clock, std::vector<Call>& calls) {
+  c.id = ++calls_;
   out_[c.id] = clock.now;
-  bid_calls_[b.name] = c.id;
+  if (c.bid.empty()) {
+    market_calls_.insert({c.market.v, c.kind});
+  } else {
+    bid_calls_.insert(c.bid);
+  }
   calls.push_back(std::move(c));
-  return true;
 }
 
 void Desk::step(Bid& b, Clock clock, std::vector<Call>& calls) {
@@ -476,7 +478,7 @@
   Seconds last = b.bid_at + b.rec.deliver_s + settings_.patience_s + b.rec.term_s + after_term_s;
   if (b.bid_at >= 0 && now > last && b.state != BidState::settling) {
     if (b.state == BidState::committed || b.state == BidState::committing) return;
-    judge(b, clock);
+    judge(b);
     return finish(b, worst_case(b.rec), "its term is over and no definite answer came: booked at its worst");
   }
   switch (b.state) {
@@ -655,11 +657,10 @@
     case MarketPhase::won:
       if (b.rate != news.rate && news.rate > 0) {
         b.rate = news.rate;
-        if (b.quoted > 0) v.judge_price({b.rec.type, b.rec.zone, b.rec.spot}, b.quoted, to_amount(news.rate));
+        if (b.quoted > 0) v.judge_price(b.rec.kind(), b.quoted, to_amount(news.rate));
       }
-      b.expects = std::min(news.expects, b.rec.count());
-      if (b.expects == 0 || b.came >= b.rec.count()) {
-        judge(b, clock);
+      if (news.expects == 0 || b.came >= b.rec.count()) {
+        judge(b);
         set_state(b, BidState::running, "all that will come is there");
       } else if (!giving_up) {
         set_state(b, BidState::won, "accepted");
@@ -667,10 +668,10 @@
       return;
     case MarketPhase::lost:
     case MarketPhase::withdrawn:
-      judge(b, clock);
+      judge(b);
       return finish(b, news.charged, news.phase == MarketPhase::lost ? "lost" : "withdrawn");
     case MarketPhase::closed:
-      judge(b, clock);
+      judge(b);
       return finish(b, news.charged, "over, all machines are back");
   }
 }
@@ -693,8 +694,7 @@
   if (b.want_withdraw || news.raise > b.rec.limit || news.raise <= 0) {
     b.want_withdraw = true;
     if (b.quoted > 0 && news.raise > 0)
-      known_venue(b.rec.market)
-          ->judge_price({b.rec.type, b.rec.zone, b.rec.spot}, b.quoted, to_amount(news.raise));
+      known_venue(b.rec.market)->judge_price(b.rec.kind(), b.quoted, to_amount(news.raise));
     SPDLOG_INFO("bid {}: not confirmed: limit {:.3f}, asked {:.3f}", b.name, to_amount(b.rec.limit),
                 to_amount(news.raise));
     return;
@@ -706,12 +706,12 @@
 
 void Desk::take_hosts(Bid& b, const BidNews& news, Clock clock) {
   MarketVenue& v = *known_venue(b.rec.market);
-  Kind kind{b.rec.type, b.rec.zone, b.rec.spot};
+  Kind kind = b.rec.kind();
   std::string prefix = v.market().name + ".";
   for (const HostNews& h : news.hosts) {
     if (b.hosts.count(h.name) != 0) continue;
-    MachineIndex known = model_.names.machines.find(h.name);
-    bool recorded = known.valid() && known.v < model_.machine_count() && model_.machine(known).stamp != 0;
+    MachineIndex known = model_.find_recorded(h.name);
+    bool recorded = known.valid();
     const std::string* other = nullptr;
     auto owner = host_bid_.find(h.name);
     if (owner != host_bid_.end() && owner->second != b.name) other = &owner->second;
@@ -736,7 +736,7 @@
     if (extra || !right) {
       SPDLOG_INFO("bid {}: {} goes back, {}", b.name, h.name,
                   extra ? "more came than was bid for" : "it is not what was bid for");
-      returns_.try_emplace(h.name, Return{h.name, recorded ? known : MachineIndex{}, clock.now, false});
+      returns_.try_emplace(h.name, Return{h.name, known, clock.now, false});
       continue;
     }
     // The parts get theirs in order.
@@ -756,7 +756,7 @@
   }
 }
 
-void Desk::judge(Bid& b, Clock) {
+void Desk::judge(Bid& b) {
   if (b.judged) return;
   b.judged = true;
   MarketVenue* v = known_venue(b.rec.market);
@@ -764,7 +764,7 @@
   bool promised = b.state == BidState::won || b.came > 0 || b.late;
   if (v == nullptr || !promised || b.bid_at < 0) return;
   double broken = b.rec.count() - std::min(b.rec.count(), b.usable);
-  v->judge_machines({b.rec.type, b.rec.zone, b.rec.spot}, b.usable, broken);
+  v->judge_machines(b.rec.kind(), b.usable, broken);
 }
 
 void Desk::dispute(Bid& b, const std::string& why) {
@@ -773,8 +773,8 @@
   known_venue(b.rec.market)->shut("bid " + b.name + ": " + why);
   std::vector<MachineIndex> machines;
   for (const std::string& h : b.hosts) {
-    MachineIndex m = model_.names.machines.find(h);
-    if (!m.valid() || m.v >= model_.machine_count() || model_.machine(m).stamp == 0) continue;
+    MachineIndex m = model_.find_recorded(h);
+    if (!m.valid()) continue;
     // One that reported before the market spoke of it has a record without a bid.
     const MachineRecord& rec = model_.machine(m).rec;
     if (rec.market == b.rec.market && (rec.bid.empty() || rec.bid == b.name)) machines.push_back(m);
@@ -810,22 +810,16 @@
     if (!v) continue;
     MarketIndex m = v->market().index;
     auto free = [&](CallKind k) { return market_calls_.count({m.v, k}) == 0; };
-    auto send = [&](Call c) {
-      c.id = ++calls_;
-      c.market = m;
-      out_[c.id] = clock.now;
-      market_calls_[{m.v, c.kind}] = c.id;
-      calls.push_back(std::move(c));
-    };
     if (!wanted_.empty() && free(CallKind::quotes) && v->quotes_wanted(clock.now, needed) &&
         v->turn(clock.now)) {
       if (v->state() == VenueState::silent || v->state() == VenueState::throttled)
         v->set_state(VenueState::probing, "asked whether it is back");
       v->asked_for_quotes(clock.now);
       Call c;
+      c.market = m;
       c.kind = CallKind::quotes;
       c.kinds = wanted_;
-      send(std::move(c));
+      send(std::move(c), clock, calls);
     }
     bool dealing =
         std::any_of(bids_.begin(), bids_.end(), [m](const auto& x) { return x.second.rec.market == m; });
@@ -833,9 +827,10 @@
         v->state() != VenueState::silent && v->turn(clock.now)) {
       v->next_charges = clock.now + charges_every_s;
       Call c;
+      c.market = m;
       c.kind = CallKind::charges;
       c.from = v->charges_read;
-      send(std::move(c));
+      send(std::move(c), clock, calls);
     }
   }
 }
@@ -854,14 +849,11 @@
     MarketVenue* v = venues_[m].get();
     if (hosts.empty() || market_calls_.count({m, CallKind::give_back}) != 0 || !v->turn(clock.now)) continue;
     Call c;
-    c.id = ++calls_;
     c.market = v->market().index;
     c.kind = CallKind::give_back;
     for (const std::string& h : hosts) returns_.at(h).out = true;
     c.hosts = std::move(hosts);
-    out_[c.id] = clock.now;
-    market_calls_[{m, c.kind}] = c.id;
-    calls.push_back(std::move(c));
+    send(std::move(c), clock, calls);
   }
 }
 
@@ -874,4 +866,13 @@
   settle(clock, out);
 }
 
+void connect(Desk& desk, Fleet& fleet) {
+  desk.on_delivered = [&fleet](const HostNews& h, const MachineRecord& rec) {
+    fleet.take_in(h.name, h.address, rec);
+  };
+  desk.on_returned = [&fleet](const std::vector<MachineIndex>& m, bool said) { fleet.on_deleted(m, said); };
+  desk.on_unwanted = [&fleet](const std::vector<MachineIndex>& m) { fleet.drain(m); };
+  fleet.set_source(&desk);
+}
+
 }  // namespace oxbowmill::market
--- a/src/market/venue.cpp
+++ b/src/market/venue.cpp
@@ -53,7 +53,9 @@
     o.most = c.most;
     o.price = o.quoted = o.limit = c.price;
     o.promised_s = c.ready_s;
-    o.punctuality = punctual.punctuality(c.ready_s);
+    auto [table, fresh] = tables_.try_emplace(c.ready_s);
+    if (fresh) table->second = punctual.punctuality(c.ready_s);
+    o.punctuality = table->second;
     out.push_back(std::move(o));
   }
 }
@@ -137,6 +139,7 @@
 
 void MarketVenue::read_durable(const MarketRecord& r) {
   whole_ = Trust(r.evidence);
+  ++learnt_;
   if (r.shut && !market_.forgive) {
     why_shut_ = r.why;
     set_state(VenueState::shut, r.why);
@@ -165,6 +168,7 @@
 void MarketVenue::judge_delivery(const Kind& k, Seconds promised_s, Seconds actual_s) {
   whole_.delivery(promised_s, actual_s);
   kinds_[k].delivery(promised_s, actual_s);
+  ++learnt_;
   changed = true;
 }
 
@@ -204,9 +208,8 @@
     // The table is made anew only where what is known of deliveries has changed.
     int promised = static_cast<int>(std::lround(q.news.deliver_s));
     auto& [known, table] = tables_[{q.news.kind, promised}];
-    double evidence = 1 + t.evidence().delay_n + 1e-3 * t.evidence().delay_mean;
-    if (known != evidence) {
-      known = evidence;
+    if (known != learnt_) {
+      known = learnt_;
       table = t.punctuality(q.news.deliver_s);
     }
     o.punctuality = table;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -277,7 +277,6 @@
 
 void Node::send_write(const Write& w) {
   Outbox::Sent& s = outbox_.keep(w, model_);
-  SPDLOG_DEBUG("transaction {}: {}", w.id, s.body["apply"].dump());
   store_.txn(s.body, w.urgency, [this, id = w.id](const StoreAnswer& a) {
     Outbox::Sent* sent = outbox_.find(id);
     if (sent == nullptr) return;
--- a/src/service/outbox.cpp
+++ b/src/service/outbox.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/service/outbox.h"
 
+#include <spdlog/spdlog.h>
+
 namespace oxbowmill::service {
 
 using wire::Json;
@@ -23,6 +25,7 @@
     s.body["apply"].push_back(std::move(op));
     s.changes.emplace_back(std::move(key), c);
   }
+  SPDLOG_DEBUG("transaction {}: {}", w.id, s.body["apply"].dump());
   return s;
 }
 
--- a/src/service/trading.cpp
+++ b/src/service/trading.cpp
@@ -22,12 +22,7 @@
     clients_[m.index.v] = std::make_unique<net::HttpClient>(base, net::parse_address(m.address), connections,
                                                             wire::most_market_body);
   }
-  desk_.on_delivered = [&fleet](const market::HostNews& h, const MachineRecord& rec) {
-    fleet.take_in(h.name, h.address, rec);
-  };
-  desk_.on_returned = [&fleet](const std::vector<MachineIndex>& m, bool said) { fleet.on_deleted(m, said); };
-  desk_.on_unwanted = [&fleet](const std::vector<MachineIndex>& m) { fleet.drain(m); };
-  fleet.set_source(&desk_);
+  market::connect(desk_, fleet);
 }
 
 void Trading::pass(Effects& out) {
--- a/tests/bench/market_bench.cpp
+++ b/tests/bench/market_bench.cpp
@@ -3,7 +3,6 @@
 #include <malloc.h>
 #include <spdlog/spdlog.h>
 
-#include "oxbowmill/wire/market_codec.h"
 #include "standins/cluster.h"
 
 namespace oxbowmill {
@@ -75,19 +74,13 @@
     if (desk) {
       std::vector<market::Call> calls;
       desk->pass({now, now}, out, calls);
-      for (const market::Call& call : calls) answer(call);
+      for (const market::Call& call : calls)
+        desk->on_answer(call, stands[call.market.v].ask(call, model.names, now), {now, now});
     }
     // Nothing is written and nothing rented, so that every pass has the same to do.
     for (const Write& w : out.writes) scheduler.on_outcome(w.id, Outcome::not_executed, 0, now);
     for (const RentOrder& r : out.rents) fleet.on_rented(r.request, true, {}, now);
   }
-  void answer(const market::Call& call) {
-    wire::MarketRequest r = wire::write_market_call(call, model.names);
-    auto reply = stands[call.market.v].handle(r.post ? "POST" : "GET", r.path,
-                                              r.body.is_null() ? "" : wire::encode(r.body), now);
-    desk->on_answer(call, wire::read_market_answer(call, reply.status, reply.body, 0, model.names), {now, now});
-  }
-
   double now = 1000;
   Model model;
   Hold hold;
@@ -107,9 +100,15 @@
   for (auto _ : state) leader.pass();
 }
 
-void without_markets(benchmark::State& state) { passes(state, false, 0); }
-void eight_markets(benchmark::State& state) { passes(state, true, 1e6); }
-void eight_markets_at_the_ceiling(benchmark::State& state) { passes(state, true, 1500); }
+void without_markets(benchmark::State& state) {
+  passes(state, false, 0);
+}
+void eight_markets(benchmark::State& state) {
+  passes(state, true, 1e6);
+}
+void eight_markets_at_the_ceiling(benchmark::State& state) {
+  passes(state, true, 1500);
+}
 BENCHMARK(without_markets)->Unit(benchmark::kMicrosecond);
 BENCHMARK(eight_markets)->Unit(benchmark::kMicrosecond);
 BENCHMARK(eight_markets_at_the_ceiling)->Unit(benchmark::kMicrosecond);
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -15,6 +15,15 @@
 
 constexpr PartIndex red{1};
 
+/// Node 0 places run-1, and the transaction is held back on its way.
+void hold_back_placement(Cluster& c, std::uint32_t tasks) {
+  c.submit(test_job("run-1", tasks, 4));
+  c.node(0).sync(c.now);
+  c.node(0).fate = Fate::not_arrived;
+  c.node(0).pass(c.now);
+  ASSERT_EQ(c.node(0).lost.size(), 1U);
+}
+
 TEST(Fencing, RunsAJobToItsEnd) {
   Cluster c;
   c.add_machine("m1");
@@ -110,11 +119,7 @@
   Cluster c;
   for (const char* m : {"m1", "m2", "m3", "m4"}) c.add_machine(m);
   c.run(2);
-  c.submit(test_job("run-1", 2, 4));
-  c.node(0).sync(c.now);
-  c.node(0).fate = Fate::not_arrived;
-  c.node(0).pass(c.now);
-  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  ASSERT_NO_FATAL_FAILURE(hold_back_placement(c, 2));
   c.node(0).fate = Fate::answered;
   JobSpec other = test_job("run-2", 2, 4);
   other.rank = Rank::high;
@@ -140,11 +145,7 @@
   Cluster c;
   c.add_machine("m1");
   c.run(2);
-  c.submit(test_job("run-1", 1, 4));
-  c.node(0).sync(c.now);
-  c.node(0).fate = Fate::not_arrived;
-  c.node(0).pass(c.now);
-  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  ASSERT_NO_FATAL_FAILURE(hold_back_placement(c, 1));
   c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/j/run-1"}}}}});
   c.node(0).fate = Fate::answered;
   c.state.set_outage(true, c.now);
--- a/tests/market_desk_test.cpp
+++ b/tests/market_desk_test.cpp
@@ -321,10 +321,6 @@
 
 // --- Random mixtures.
 
-struct Move {
-  int what = 0, steps = 0;
-};
-
 RC_GTEST_PROP(MarketDeskProps, MoneyNamesAndNeedsThroughAnyMixtureOfFaults, ()) {
   Scenario s;
   s.jobs = 5;
--- a/tests/market_safety_test.cpp
+++ b/tests/market_safety_test.cpp
@@ -35,13 +35,17 @@
     for (double t = 0; t < within && running_on(task) == nullptr; t += 0.5) run(0.5);
     return running_on(task) != nullptr;
   }
+  /// Where a job of one task that takes a whole machine has come to run.
+  std::string machine_of_first_job() {
+    submit(test_job("run-1", 1, 4));
+    return runs("run-1/0", 60) ? *running_on("run-1/0") : "";
+  }
 };
 
 TEST(MarketSafety, JobRunsOnABoughtMachineWhichGoesBackAndIsPaid) {
   Trading c(north());
-  c.submit(test_job("run-1", 1, 4));
-  ASSERT_TRUE(c.runs("run-1/0", 60));
-  std::string at = *c.running_on("run-1/0");
+  std::string at = c.machine_of_first_job();
+  ASSERT_NE(at, "");
   EXPECT_EQ(at.rfind("north.", 0), 0U);
   c.worker(at).finish("run-1/0", EndCause::done);
   c.run(120);
@@ -62,9 +66,8 @@
   lab::Character liar = north();
   liar.keeps_running = true;
   Trading c(liar);
-  c.submit(test_job("run-1", 1, 4));
-  ASSERT_TRUE(c.runs("run-1/0", 60));
-  std::string at = *c.running_on("run-1/0");
+  std::string at = c.machine_of_first_job();
+  ASSERT_NE(at, "");
   c.silenced.insert(at);
   auto record = c.state.keys().at("o/m/" + at);
   record.value["del"] = true;
@@ -87,9 +90,8 @@
   lab::Character liar = north();
   liar.keeps_running = true;
   Trading c(liar);
-  c.submit(test_job("run-1", 1, 4));
-  ASSERT_TRUE(c.runs("run-1/0", 60));
-  std::string at = *c.running_on("run-1/0");
+  std::string at = c.machine_of_first_job();
+  ASSERT_NE(at, "");
   c.worker(at).finish("run-1/0", EndCause::done);
   c.run(60);
   ASSERT_TRUE(c.markets[0].hosts().at(at).returned);
@@ -199,21 +201,33 @@
   for (auto [what, which, steps] : moves) {
     std::string host = nth(which);
     switch (what) {
-      case 0: c.submit(test_job("run-" + std::to_string(jobs++), 1 + which % 2, 4)); break;
-      case 1: c.withdraw("run-" + std::to_string(which)); break;
+      case 0:
+        c.submit(test_job("run-" + std::to_string(jobs++), 1 + which % 2, 4));
+        break;
+      case 1:
+        c.withdraw("run-" + std::to_string(which));
+        break;
       case 2:  // the other controller takes over, the first one finds out when it can
         c.kill_node(owner);
         owner = 1 - owner;
         c.node(owner).hold.lost();
         c.node(owner).claim_all(c.now);
         break;
-      case 3: c.state.set_outage(!c.state.outage(), c.now); break;
+      case 3:
+        c.state.set_outage(!c.state.outage(), c.now);
+        break;
       case 4:
         if (!host.empty()) c.silenced.insert(host);
         break;
-      case 5: c.silenced.erase(host); break;
-      case 6: c.node(owner).fate = Fate::answer_lost; break;
-      case 7: c.node(owner).fate = Fate::not_arrived; break;
+      case 5:
+        c.silenced.erase(host);
+        break;
+      case 6:
+        c.node(owner).fate = Fate::answer_lost;
+        break;
+      case 7:
+        c.node(owner).fate = Fate::not_arrived;
+        break;
       case 8: {
         // A transaction that was held back arrives.
         auto& lost = c.node(owner).lost;
--- a/tests/standins/cluster.cpp
+++ b/tests/standins/cluster.cpp
@@ -1,7 +1,5 @@
 #include "standins/cluster.h"
 
-#include "oxbowmill/wire/market_codec.h"
-
 namespace oxbowmill::standins {
 
 Settings test_settings(const std::string& node) {
@@ -106,15 +104,8 @@
     for (const RentOrder& r : out.rents) fleet.on_rented(r.request, true, {}, now);
     std::vector<market::Call> calls;
     desk->pass({now, now}, out, calls);
-    for (const market::Call& call : calls) {
-      wire::MarketRequest r = wire::write_market_call(call, model.names);
-      lab::MarketReply reply =
-          markets_->at(call.market.v)
-              .handle(r.post ? "POST" : "GET", r.path, r.body.is_null() ? "" : wire::encode(r.body), now);
-      desk->on_answer(
-          call, wire::read_market_answer(call, reply.status, reply.body, reply.retry_after_s, model.names),
-          {now, now});
-    }
+    for (const market::Call& call : calls)
+      desk->on_answer(call, markets_->at(call.market.v).ask(call, model.names, now), {now, now});
   }
   for (const DirectOrders& d : out.direct) direct.push_back(d);
   rents.insert(rents.end(), out.rents.begin(), out.rents.end());
@@ -142,12 +133,7 @@
   markets_ = &markets;
   for (const market::MarketSettings& m : settings.markets) model.names.markets.intern(m.name);
   desk = std::make_unique<market::Desk>(model, scheduler, settings);
-  desk->on_delivered = [this](const market::HostNews& h, const MachineRecord& rec) {
-    fleet.take_in(h.name, h.address, rec);
-  };
-  desk->on_returned = [this](const std::vector<MachineIndex>& m, bool said) { fleet.on_deleted(m, said); };
-  desk->on_unwanted = [this](const std::vector<MachineIndex>& m) { fleet.drain(m); };
-  fleet.set_source(desk.get());
+  market::connect(*desk, fleet);
 }
 
 Cluster::Cluster(int controllers) {
