--- a/include/oxbowmill/config/config.h
+++ b/include/oxbowmill/config/config.h
@@ -7,6 +7,7 @@
 #include "oxbowmill/core/settings.h"
 #include "oxbowmill/market/settings.h"
 #include "oxbowmill/net/http.h"
+#include "oxbowmill/recovery/settings.h"
 #include "oxbowmill/yaml/map.h"
 
 namespace oxbowmill::config {
@@ -22,14 +23,14 @@
   Settings settings;
   Names names;
   market::Settings markets;
+  recovery::Settings recovery;
   net::Address bind, peer_bind, cloud, state;
   std::vector<Peer> peers;
 };
 
 /// Several operators' files add to each other; what is set twice has its last value.
 Config load(const std::string& toml_file, const std::vector<std::string>& yaml_files);
-/// Reads an operators' file into settings; teams and markets are names of `names`.
-void load_operator(const std::string& yaml_file, OperatorSettings& op, market::Settings& markets,
-                   Names& names);
+/// Reads an operators' file into the settings; teams and markets are names of its `names`.
+void load_operator(const std::string& yaml_file, Config& config);
 
 }  // namespace oxbowmill::config
--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -28,6 +28,8 @@
   void on_list_failed() { listing_ = false; }
   /// From now on needs go to it first, and the cloud gets what it leaves.
   void set_source(MachineSource* source) { source_ = source; }
+  /// Rentals and returns go through it from now on.
+  void set_gate(Gate* gate) { gate_ = gate; }
   /// A machine of a market is there.
   void take_in(const std::string& name, const std::string& address, const MachineRecord& rec);
   /// Work is to leave these machines, and they go back.
@@ -54,6 +56,11 @@
   void note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now);
   /// Rents whole machines ahead of the gangs that will want them.
   void stand_by(const std::vector<Bin>& idle, Clock clock);
+  /// Has machines ready for the work of those that may be gone, beyond what stands idle.
+  void replace_suspects(std::size_t idle, Clock clock);
+  bool may_rent(PartIndex part, JobIndex job, bool guaranteed, Seconds now) const {
+    return gate_ == nullptr || gate_->may_rent(part, job, guaranteed, now);
+  }
   /// This pass's request for the kind.
   RentOrder& asking(const Kind& k);
   void return_machines(Clock clock, Effects& out);
@@ -66,6 +73,7 @@
   Model& model_;
   Scheduler& scheduler_;
   MachineSource* source_ = nullptr;
+  Gate* gate_ = nullptr;
   std::vector<Need> needs_;  // of this pass
   struct Adoption {
     MachineRecord rec;
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -103,7 +103,8 @@
   Seconds blocked_until = 0;
   Seconds faulty_until = 0;
   std::uint64_t tenure = 0, serial = 0;
-  bool recalled = false;  // spot notice
+  bool taken_over = false;  // in its part since a takeover of the part, not since a move
+  bool recalled = false;    // spot notice
   bool failed_listed = false;
   bool up = false;  // has run something or been moved: known to have booted, also where it reports elsewhere
   bool writing = false;
@@ -135,6 +136,12 @@
   Seconds since = 0;
 };
 
+/// A live controller and since when this node has known of its present hold.
+struct LiveNode {
+  ClaimRecord rec;
+  Seconds since = 0;
+};
+
 class Model {
  public:
   Model(Settings settings, Names names);
@@ -152,6 +159,11 @@
     return it == jobs_.end() || it->second.stamp == 0 ? nullptr : &it->second;
   }
   const Job* live_job(JobIndex j) const { return const_cast<Model*>(this)->live_job(j); }
+  /// Null where neither record nor placement of it is known.
+  const Job* known_job(JobIndex j) const {
+    auto it = jobs_.find(j.v);
+    return it == jobs_.end() ? nullptr : &it->second;
+  }
   Machine& machine(MachineIndex m) { return machines_[m.v]; }
   const Machine& machine(MachineIndex m) const { return machines_[m.v]; }
   MachineIndex intern_machine(const std::string& name);
@@ -163,10 +175,14 @@
   const std::set<MachineIndex>& machines_of(PartIndex part) const { return part_machines_[part.v]; }
   const Claim& claim(PartIndex p) const { return claims_[p.v]; }
   std::uint32_t parts() const { return names.parts.size(); }
-  const std::map<std::string, ClaimRecord>& nodes() const { return nodes_; }
+  const std::map<std::string, LiveNode>& nodes() const { return nodes_; }
+  /// Since when every controller there is has been known to act under its present hold only: what any of them
+  /// answered under an earlier one was answered before. Below 0: one is missing.
+  Seconds all_anew_since() const;
   Amounts room(const Machine& m) const;
   const Amounts& team_use(PartIndex p) const { return team_use_[p.v]; }
   Placement* find_placement(TaskId id);
+  const Placement* find_placement(TaskId id) const { return const_cast<Model*>(this)->find_placement(id); }
   /// Takes (or gives back, with -1) room and quota for a task whose placement is being written.
   void reserve(MachineIndex m, const JobSpec& spec, int sign);
   /// The lowest tasks that are neither done nor placed, up to `most`.
@@ -188,6 +204,7 @@
 
   Settings settings;
   Names names;
+  double wall_ahead = 0;  // time of day minus steady clock; 0: not known
   MoneyTables money;
   std::vector<MachineType> catalog;  // by type
   std::vector<double> image_gb;      // by image
@@ -215,7 +232,7 @@
   std::vector<std::set<MachineIndex>> part_machines_;
   std::vector<Claim> claims_;
   std::vector<Amounts> team_use_;
-  std::map<std::string, ClaimRecord> nodes_;
+  std::map<std::string, LiveNode> nodes_;
   double freed_ = 0;
 };
 
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "oxbowmill/core/claims.h"
 #include "oxbowmill/core/gangs.h"
+#include "oxbowmill/core/gate.h"
 #include "oxbowmill/core/order.h"
 #include "oxbowmill/core/placement.h"
 
@@ -90,6 +91,12 @@
   /// What this node sees itself, for the others.
   std::vector<ZoneIndex> dark_zones(Seconds now) const;
   void heard_of_dark(ZoneIndex z, Seconds now);
+  /// Begins the terms of parts that have become ours. Every report and pass does so itself.
+  void notice_takeovers(Seconds now);
+  /// What is held back while it is not known who is still there. None: nothing is.
+  void set_gate(const Gate* gate) { gate_ = gate; }
+  /// Silence of this machine of ours that is over then proves it empty.
+  Seconds proved_empty_at(const Machine& m) const;
   /// A machine without a record showed itself; the leader takes it in.
   std::function<void(const WorkerReport&)> on_unrecorded;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
@@ -122,11 +129,9 @@
                  std::vector<PlacedTask> planned, std::vector<Released> released);
   void direct_clears(const Pending& p, Effects& out);
   void ring(const Pending& p, Stamp revision, Seconds now, Effects& out);
-  /// A machine that changes its owner reports to the new one within this time.
-  double arrival_s() const { return 2 * model_.settings.report_s + Settings::report_timeout_s; }
+  double arrival_s() const { return model_.settings.arrival_s(); }
   void settle(std::map<std::uint64_t, Pending>::iterator it, Seconds now, double back_off);
   void settle_pending(Seconds now, Effects& out);
-  void notice_takeovers(Seconds now);
   void read_tasks(MachineIndex mi, const WorkerReport& r, bool token_shown, Seconds now);
   void task_ended(Placement& p, const TaskReport& t, Machine& m, Seconds now);
   void response_orders(MachineIndex mi, const WorkerReport& r, std::vector<Order>& orders, Seconds now);
@@ -168,6 +173,7 @@
 
   Model& model_;
   Hold& hold_;
+  const Gate* gate_ = nullptr;
   Stamp seen_ = 0;
   std::uint64_t next_write_ = 0;
   std::uint64_t attempts_ = 0;
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -50,7 +50,8 @@
 struct Settings {
   std::string node;
   std::uint32_t nodes = 1;
-  std::vector<Team> teams;  // by part; [0] unused
+  std::vector<std::string> all_nodes;  // names of all controllers that there are, this one's too
+  std::vector<Team> teams;             // by part; [0] unused
   double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 8, cancel_s = 40;
   double state_rps = 100, state_write_rps = 20, value_kb = 4;
   std::size_t txn_ops = 12;
@@ -67,6 +68,8 @@
   /// the report was sent, and an answer that comes after its time-out renews and starts nothing.
   double lease_over_s() const { return std::max(lease_s, report_timeout_s) * (1 + 2 * drift) + margin_s; }
   double grace_s() const;
+  /// A machine that changes its owner, or whose owner has just begun, reports to it within this time.
+  double arrival_s() const { return 2 * report_s + report_timeout_s; }
   /// Silence after a takeover that proves a machine holds nothing of the earlier owner.
   double takeover_silence_s() const { return grace_s() * (1 + 2 * drift) + lease_over_s(); }
 };
--- a/tests/standins/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -6,12 +6,12 @@
 
 #include "oxbowmill/core/fleet.h"
 #include "oxbowmill/lab/market.h"
+#include "oxbowmill/lab/state.h"
+#include "oxbowmill/lab/worker.h"
 #include "oxbowmill/market/desk.h"
 #include "oxbowmill/service/outbox.h"
-#include "standins/state.h"
-#include "standins/worker.h"
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 /// What becomes of a controller's next transactions.
 enum class Fate { answered, answer_lost, not_arrived };
@@ -34,7 +34,7 @@
   void pass(double now);
   ReportAnswer hear(const WorkerReport& r, double now) { return scheduler.on_report(r, {now, now}); }
   /// Trades with these markets from now on; their names are known to the model.
-  void trade(const market::Settings& settings, std::vector<lab::Market>& markets);
+  void trade(const market::Settings& settings, std::vector<Market>& markets);
 
   std::string name;
   Model model;
@@ -53,7 +53,7 @@
   State& state_;
   std::size_t heard_ = 0;
   service::Outbox outbox_;
-  std::vector<lab::Market>* markets_ = nullptr;
+  std::vector<Market>* markets_ = nullptr;
 };
 
 /// Two controllers, a state service and workers, with time that only moves when told.
@@ -67,7 +67,7 @@
   void add_stranger(const std::string& name, const std::string& zone = "a");
   /// All controllers trade with this market; machines that it delivers report.
   void add_market(const lab::Character& c);
-  std::vector<lab::Market> markets;
+  std::vector<Market> markets;
   market::Settings trading;
   Worker& worker(const std::string& name) { return *workers_.at(name); }
   void submit(JobSpec spec);
@@ -94,4 +94,4 @@
 
 JobSpec test_job(const std::string& ref, std::uint32_t tasks, double gpus = 1);
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/tests/standins/state.h
+++ b/include/oxbowmill/lab/state.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 using Json = nlohmann::json;
 
@@ -53,4 +53,4 @@
   bool outage_ = false;
 };
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/tests/standins/worker.h
+++ b/include/oxbowmill/lab/worker.h
@@ -8,7 +8,7 @@
 
 #include "oxbowmill/core/scheduler.h"
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 /// Sees every start and end on all workers and remembers tasks that were on two machines at once.
 struct RunLog {
@@ -53,4 +53,4 @@
   double sent_at_ = 0, renewed_ = -1;
 };
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -143,22 +143,4 @@
 void send_once(event_base* base, const Address& to, evhttp_cmd_type method, const std::string& path,
                const std::string& body, double timeout_s, ResponseFn fn);
 
-/// Allows `rate` a second with bursts of `burst`.
-class TokenBucket {
- public:
-  TokenBucket(double rate, double burst) : rate_(rate), burst_(burst), level_(burst) {}
-  void set_rate(double rate, double burst) {
-    rate_ = rate;
-    burst_ = burst;
-  }
-  bool take(double n, double now);
-  /// Seconds until `n` can be taken.
-  double wait_for(double n, double now);
-
- private:
-  void refill(double now);
-  double rate_, burst_, level_;
-  double last_ = 0;
-};
-
 }  // namespace oxbowmill::net
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "oxbowmill/config/config.h"
+#include "oxbowmill/recovery/start.h"
 #include "oxbowmill/service/intake.h"
 #include "oxbowmill/service/outbox.h"
 #include "oxbowmill/service/peers.h"
@@ -21,6 +22,10 @@
   void tick();
   void tend_hold();
   void claim_parts();
+  /// Ends what an earlier process of this controller has left in the state service.
+  void end_own_past();
+  PeerNews news() const;
+  void heard_news(const PeerNews& n);
   void run_pass();
   void send_write(const Write& w);
   void send_direct(const DirectOrders& d);
@@ -45,18 +50,18 @@
   state::Store store_;
   Mirror mirror_;
   Intake intake_;
-  std::unique_ptr<Trading> trading_;  // null without markets
+  std::unique_ptr<recovery::Start> start_;  // null unless switched on
+  std::unique_ptr<Trading> trading_;        // null without markets
   net::HttpClient cloud_;
-  net::TokenBucket cloud_bucket_;
+  TokenBucket cloud_bucket_;
   std::deque<std::function<void()>> cloud_urgent_, cloud_rest_;
   unsigned cloud_turn_ = 0;
   Outbox outbox_;
   std::unordered_map<std::uint32_t, double> claim_at_;  // by part: when to try
   net::Timer tick_;
   double next_renew_ = 0, next_catalog_ = 0;
-  std::vector<std::string> all_nodes_;
   double started_at_ = 0;
-  bool renewing_ = false, node_key_ = false, catalog_stored_ = false;
+  bool renewing_ = false, node_key_ = false, past_ended_ = false, catalog_stored_ = false;
   Stamp known_revision_ = 0;                // highest that an own transaction got
   void malformed(const std::string& what);  // logged once per sender and kind
   std::set<std::string> bad_senders_;
--- a/include/oxbowmill/service/peers.h
+++ b/include/oxbowmill/service/peers.h
@@ -4,18 +4,30 @@
 
 #include <map>
 #include <memory>
+#include <msgpack.hpp>
 #include <optional>
 
 #include "oxbowmill/config/config.h"
 
 namespace oxbowmill::service {
 
+/// How far the start of a part has come, under the claim of this revision.
+struct StartWord {
+  std::string part;
+  std::uint64_t claim = 0;
+  std::uint32_t state = 0, expected = 0, heard = 0;
+  MSGPACK_DEFINE_ARRAY(part, claim, state, expected, heard)
+};
+
 /// A controller's word about itself.
 struct PeerNews {
   std::string node;
   std::uint64_t revision = 0;     // of the last change it knows of
   bool state_ok = false;          // the state service answers it
   std::vector<std::string> dark;  // zones whose machines do not reach it
+  // Optional: older versions neither send nor read them.
+  std::vector<StartWord> starts;      // of the parts it owns
+  std::vector<std::string> suspects;  // machines of its parts that may be gone
 };
 std::string encode(const PeerNews& n);
 std::optional<PeerNews> decode_news(const std::string& body);
@@ -38,6 +50,7 @@
   void relay(const std::string& node, const std::string& report, net::ResponseFn fn);
   std::function<void(std::uint64_t revision)> on_revision;
   std::function<void(const std::string& zone)> on_dark;
+  std::function<void(const PeerNews&)> on_news;
   /// A report that another node passes on.
   std::function<void(const net::Request&)> on_relayed;
 
--- a/include/oxbowmill/state/store.h
+++ b/include/oxbowmill/state/store.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 
+#include "oxbowmill/core/token_bucket.h"
 #include "oxbowmill/net/http.h"
 #include "oxbowmill/state/keys.h"
 
@@ -27,6 +28,8 @@
   void txn(const Json& body, Urgency urgency, AnswerFn fn);
   void open_hold(double life_s, AnswerFn fn);
   void renew_hold(std::uint64_t id, AnswerFn fn);
+  /// Ends a hold at once, with the keys attached to it.
+  void end_hold(std::uint64_t id, AnswerFn fn);
   void watch(const std::string& prefix, Stamp from, double hold_s, AnswerFn fn);
   void set_live_nodes(std::size_t n);
   /// When an answer other than 429 and 503 last came.
@@ -50,7 +53,7 @@
   std::function<double()> now_;
   const Settings& settings_;
   net::HttpClient calls_, holds_, watch_;
-  net::TokenBucket requests_, changes_;
+  TokenBucket requests_, changes_;
   std::deque<Call> queues_[6];
   net::Timer timer_;
   double last_good_ = -1e9;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -195,18 +195,32 @@
   m.done();
 }
 
+void read_recovery(yaml::Map m, recovery::Settings& s) {
+  s.enabled = true;
+  m.number("heard_share", s.heard_share, 0.1, 1);
+  m.number("enough_share", s.enough_share, 0.1, 1);
+  m.number("multiplier", s.multiplier, 1, 100);
+  m.number("demand_window_s", s.demand_window_s, 0, 3600);
+  m.number("return_share", s.return_share, 0.001, 10);
+  m.number("replace_share", s.replace_share, 0, 1);
+  m.flag("delete_suspects", s.delete_suspects);
+  m.done();
+}
+
 }  // namespace
 
-void load_operator(const std::string& file, OperatorSettings& op, market::Settings& markets, Names& names) {
+void load_operator(const std::string& file, Config& config) {
+  OperatorSettings& op = config.settings.op;
   YAML::Node root = yaml::load(file);
   if (root.IsNull()) return;
   yaml::Map m(file, "", root);
   for (const auto& [key, k] : yaml_keys()) m.number(key, op.*k.field, k.least, k.most);
   for (const auto& [key, flag] : yaml_flags()) m.flag(key, op.*flag);
   if (auto n = m.take("markets")) {
-    if (markets.enabled()) m.fail("markets", "set in two files");
-    read_markets(m.sub("markets", *n), markets, names);
+    if (config.markets.enabled()) m.fail("markets", "set in two files");
+    read_markets(m.sub("markets", *n), config.markets, config.names);
   }
+  if (auto n = m.take("recovery")) read_recovery(m.sub("recovery", *n), config.recovery);
   m.done();
 }
 
@@ -226,6 +240,9 @@
   for (const Table& peer : t.list("seeds"))
     c.peers.push_back({peer.text("node_name"), peer.address("address")});
   s.nodes = static_cast<std::uint32_t>(c.peers.size()) + 1;
+  for (const Peer& peer : c.peers) s.all_nodes.push_back(peer.node);
+  s.all_nodes.push_back(s.node);
+  std::sort(s.all_nodes.begin(), s.all_nodes.end());
   Table services = t.sub("services");
   c.cloud = services.address("cloud");
   c.state = services.address("state");
@@ -245,7 +262,7 @@
     x.most = {team.number_or("cpus_max", 0, 0), team.number_or("gpus_max", 0, 0), 0};
     s.teams.push_back(x);
   }
-  for (const std::string& file : yaml_files) load_operator(file, s.op, c.markets, c.names);
+  for (const std::string& file : yaml_files) load_operator(file, c);
   Table w = p.sub("workers");
   s.report_s = w.number("report_s", 0.1);
   s.lease_s = w.number("lease_s", 1);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -260,7 +260,7 @@
     for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
       const Machine& m = model_.machine(mi);
       if (m.state == MachineState::deleting || m.failed_listed || m.recalled) continue;
-      if (scheduler_.dark(m.rec.zone, now)) continue;
+      if (scheduler_.dark(m.rec.zone, now) || (gate_ != nullptr && gate_->suspected(mi))) continue;
       // One that takes far too long may never come: what waits for it must not wait for ever.
       if (!m.up && now - m.known_since > 2 * model_.catalog[m.rec.type.v].boot_s) continue;
       if (m.rec.wanted_by.valid() ? m.rec.wanted_by != part : PartIndex{p} != part) continue;
@@ -303,7 +303,7 @@
       // Asked for by another job in this very pass: once is enough.
       bool asked = std::any_of(moves_.begin(), moves_.end(), [mi](const auto& x) { return x.first == mi; });
       if (m.state == MachineState::deleting || m.writing || m.rec.wanted_by.valid() || !m.up || asked ||
-          m.failed_listed) {
+          m.failed_listed || (gate_ != nullptr && gate_->suspected(mi))) {
         continue;
       }
       // An empty machine was handed over for work that is about to start there, or comes back by itself.
@@ -362,7 +362,8 @@
     bool fresh =
         m.state == MachineState::expected && m.up && clock.now - m.known_since < model_.settings.lease_s;
     if ((m.state != MachineState::ready && !fresh) || m.recalled || m.writing || m.failed_listed ||
-        !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now) || unwanted_.count(mi) != 0) {
+        !m.on.empty() || scheduler_.dark(m.rec.zone, clock.now) || unwanted_.count(mi) != 0 ||
+        (gate_ != nullptr && gate_->suspected(mi))) {
       continue;
     }
     pool.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m), 1});
@@ -448,6 +449,7 @@
     if (j.writing || clock.now - j.first_seen < being_placed_s) continue;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
     if (!patient && leaves >= 0 && !spare_whole) continue;
+    if (!may_rent(part, ji, within, clock.now)) continue;
     auto lacking = static_cast<std::uint32_t>(tasks.size());
     if (source_ != nullptr) {
       note_need(ji, lacking, within, clock);
@@ -463,7 +465,8 @@
         m.state != MachineState::deleting)
       move_machine(mi, pool_part, true);
   }
-  stand_by(pool, clock);
+  if (may_rent(pool_part, {}, false, clock.now)) stand_by(pool, clock);
+  if (gate_ != nullptr) replace_suspects(pool.size(), clock);
   for (RentOrder& order : asking_) {
     order.request = model_.settings.node + "-" + std::to_string(model_.claim(pool_part).stamp) + "-" +
                     std::to_string(++requests_);
@@ -564,6 +567,31 @@
   }
 }
 
+void Fleet::replace_suspects(std::size_t idle, Clock clock) {
+  for (const Replacement& r : gate_->replacements(clock.now)) {
+    if (idle > 0) {  // it stands ready already
+      --idle;
+      continue;
+    }
+    // Of the suspect's kind where the cloud has it, else of its type elsewhere; a wave of losses must not
+    // leave the rest of a zone's work without machines only because the zone has no more.
+    std::vector<Kind> kinds = {r.kind};
+    for (ZoneIndex z : model_.catalog.at(r.kind.type.v).zones) kinds.push_back({r.kind.type, z, r.kind.spot});
+    auto kind = std::find_if(kinds.begin(), kinds.end(), [&](const Kind& k) {
+      return !refused(k, clock.now) && !asked_for(k) && !scheduler_.dark(k.zone, clock.now) &&
+             (!k.spot || model_.settings.op.use_spot) && asking(k).count < most_per_request;
+    });
+    if (kind == kinds.end()) continue;
+    RentOrder& order = asking(*kind);
+    ++order.count;
+    order.parts.push_back(r.part);
+    gate_->under_way(r.suspect);
+  }
+  asking_.erase(
+      std::remove_if(asking_.begin(), asking_.end(), [](const RentOrder& o) { return o.count == 0; }),
+      asking_.end());
+}
+
 RentOrder& Fleet::asking(const Kind& k) {
   auto same = std::find_if(asking_.begin(), asking_.end(), [&](const RentOrder& r) {
     return r.type == k.type && r.zone == k.zone && r.spot == k.spot;
@@ -659,8 +687,10 @@
       double keep = s.op.idle_keep_s * (m.rec.spot ? s.op.spot_keep_factor : 1);
       bool idle = m.state == MachineState::ready && now - m.idle_since > keep;
       if (idle && kept[{m.rec.type, m.rec.zone, m.rec.spot}]++ < standby(m)) idle = false;
-      mark = mark || stuck || idle || unwanted_.count(mi) != 0 || m.recalled || m.faulty_until > now ||
+      mark = mark || stuck || unwanted_.count(mi) != 0 || m.recalled || m.faulty_until > now ||
              m.state == MachineState::silent;
+      // Asked last: what may go back while a start is under way is counted.
+      mark = mark || (idle && busy_writes < s.txn_ops && (gate_ == nullptr || gate_->may_return(mi, now)));
     }
     if (mark && busy_writes++ < s.txn_ops) to_mark.push_back(mi);
   }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -6,6 +6,11 @@
 
 namespace oxbowmill {
 
+namespace {
+constexpr double late_reading_s = 3;  // beyond what clocks of different nodes differ by
+constexpr double longest_wait_s = 3600;
+}  // namespace
+
 double Settings::grace_s() const {
   // hold life + grace + lease + margins stays under cancel_s: by then what a cut-off owner kept alive is
   // gone.
@@ -91,6 +96,16 @@
   return std::max(least_token(m), m.placed_at);
 }
 
+Seconds Model::all_anew_since() const {
+  Seconds last = -1;
+  for (const std::string& name : settings.all_nodes) {
+    auto it = nodes_.find(name);
+    if (it == nodes_.end()) return -1;
+    last = std::max(last, it->second.since);
+  }
+  return last;
+}
+
 Placement* Model::find_placement(TaskId id) {
   auto j = jobs_.find(id.job.v);
   if (j == jobs_.end()) return nullptr;
@@ -224,7 +239,8 @@
                 claim.stamp ? claim.rec.node : "nobody", stamp);
   } else if (auto* n = std::get_if<NodeKey>(&change.key)) {
     if (auto* rec = std::get_if<ClaimRecord>(&change.value)) {
-      nodes_[n->node] = *rec;
+      auto [it, fresh] = nodes_.try_emplace(n->node, LiveNode{*rec, now});
+      if (!fresh && it->second.rec.hold != rec->hold) it->second = {*rec, now};
     } else {
       nodes_.erase(n->node);
     }
@@ -275,7 +291,9 @@
       if (!is_off(p.state)) occupy(j, p, 1);
       image_used(machine(p.machine), j.spec);
     }
-    j.first_seen = now;
+    // A job that was accepted while nobody listened has waited since then, not since it was read.
+    double age = wall_ahead != 0 ? now + wall_ahead - j.spec.submitted_at : 0;
+    j.first_seen = age > late_reading_s ? now - std::min(age, longest_wait_s) : now;
     j.share = share_of_machine(j.spec);
     live_[j.spec.part.v].insert(index);
     SPDLOG_INFO("job {}: known, {} of {} tasks", j.spec.ref, name_of(j.spec.shape), j.spec.tasks);
@@ -376,6 +394,7 @@
     set_state(index, MachineState::deleting, now);
   } else if (moved) {
     m.part_since = m.idle_since = now;
+    m.taken_over = false;
     m.last_answered = -1;
     m.first_report = -1;
     m.tenure = m.serial = 0;
@@ -392,6 +411,7 @@
     m.tenure = m.serial = 0;  // reports held back from an earlier term must not pass for news
     m.placed_at = 0;          // an owner in between may have moved it: the claim's stamp is higher
     m.part_since = m.idle_since = now;
+    m.taken_over = true;
     if (m.state != MachineState::deleting) {
       set_state(i, m.on.empty() ? MachineState::expected : MachineState::unaccounted, now);
     }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -354,6 +354,19 @@
   }
 }
 
+Seconds Scheduler::proved_empty_at(const Machine& m) const {
+  const Settings& s = model_.settings;
+  if (m.state != MachineState::unaccounted && !(m.state == MachineState::deleting && m.taken_over))
+    return std::max(m.last_answered, m.part_since) + s.lease_over_s();
+  Seconds at = m.part_since + s.takeover_silence_s();
+  // The earlier owner's grace need not be waited for once every controller has begun anew: what was answered
+  // to this worker on behalf of the part was answered under a hold that has ended since, and its holder
+  // answers nothing under it any more (docs/design.md, "Time").
+  Seconds anew = model_.all_anew_since();
+  if (m.taken_over && anew >= 0) at = std::min(at, std::max(m.part_since, anew) + s.lease_over_s());
+  return std::max(at, m.last_answered + s.lease_over_s());
+}
+
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
@@ -369,14 +382,14 @@
   for (MachineIndex mi : machines) {
     Machine& m = model_.machine(mi);
     // While a machine has not shown our token, the earlier owner may have kept it alive through its grace.
-    bool silent = m.last_answered >= 0 ? now - m.last_answered > s.lease_over_s()
-                                       : m.state == MachineState::unaccounted;
+    bool counted = m.last_answered >= 0 || m.state == MachineState::unaccounted ||
+                   (m.state == MachineState::deleting && m.taken_over);
+    bool silent = counted && now > proved_empty_at(m);
     if (m.last_answered >= 0 && m.state != MachineState::deleting) {
       ZoneSight& z = zones_[m.rec.zone.v];
       ++z.due;
       z.heard += now - m.last_answered < 1.6 * s.report_s + 0.5 ? 1 : 0;
     }
-    if (m.state == MachineState::unaccounted) silent = silent && now - m.part_since > s.takeover_silence_s();
     bool news = m.state != MachineState::silent && m.state != MachineState::deleting;
     for (TaskId id : m.on) {
       PlacementState state = model_.find_placement(id)->state;
@@ -396,6 +409,18 @@
       }
     }
     if (m.state == MachineState::deleting) continue;
+    if (gate_ != nullptr && !m.writing && gate_->condemned(mi)) {
+      // Its tasks stay on it in the tables until the deletion is confirmed and the record goes.
+      SPDLOG_INFO("machine {}: deleted on suspicion", model_.names.machines.name(mi));
+      MachineRecord rec = m.rec;
+      rec.mark = MachineMark::deleting;
+      rec.wanted_by = PartIndex{};
+      Transaction txn;
+      txn.guards = {claim_guard(part), {MachineKey{mi}, m.stamp}};
+      txn.changes = {{MachineKey{mi}, rec}};
+      queue(out, Urgency::placement, std::move(txn), {mi});
+      continue;
+    }
     if (m.recalled || m.faulty_until > now || m.rec.wanted_by.valid()) {
       for (TaskId id : std::vector<TaskId>(m.on)) {
         Placement& p = *model_.find_placement(id);
--- a/tests/standins/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -1,6 +1,6 @@
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 Settings test_settings(const std::string& node) {
   Settings s;
@@ -129,7 +129,7 @@
   }
 }
 
-void Controller::trade(const market::Settings& settings, std::vector<lab::Market>& markets) {
+void Controller::trade(const market::Settings& settings, std::vector<Market>& markets) {
   markets_ = &markets;
   for (const market::MarketSettings& m : settings.markets) model.names.markets.intern(m.name);
   desk = std::make_unique<market::Desk>(model, scheduler, settings);
@@ -198,7 +198,7 @@
       c.sync(now);
     }
     c.pass(now);
-    for (lab::Market& m : markets) {
+    for (Market& m : markets) {
       m.tick(now);
       for (const auto& [name, h] : m.hosts()) {
         if (h.alive && workers_.count(name) == 0) {
@@ -248,4 +248,4 @@
   return out;
 }
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/src/lab/market_server.cpp
+++ b/src/lab/market_server.cpp
@@ -2,7 +2,8 @@
 
 namespace oxbowmill::lab {
 
-MarketServer::MarketServer(event_base* base, const net::Address& bind, Market market, std::function<double()> now)
+MarketServer::MarketServer(event_base* base, const net::Address& bind, Market market,
+                           std::function<double()> now)
     : market_(std::move(market)),
       now_(std::move(now)),
       server_(base, bind, wire::most_body, [this](net::Request&& r) {
--- a/tests/standins/state.cpp
+++ b/src/lab/state.cpp
@@ -1,6 +1,6 @@
-#include "standins/state.h"
+#include "oxbowmill/lab/state.h"
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 void State::change(const std::string& key, std::optional<Json> value, std::uint64_t hold) {
   events_.push_back({revision_, key, value});
@@ -82,4 +82,4 @@
   }
 }
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/tests/standins/worker.cpp
+++ b/src/lab/worker.cpp
@@ -1,6 +1,6 @@
-#include "standins/worker.h"
+#include "oxbowmill/lab/worker.h"
 
-namespace oxbowmill::standins {
+namespace oxbowmill::lab {
 
 void RunLog::start(const std::string& task, const std::string& machine) {
   ++starts[task];
@@ -97,4 +97,4 @@
   return it != tasks_.end() && it->second.phase != TaskPhase::ended;
 }
 
-}  // namespace oxbowmill::standins
+}  // namespace oxbowmill::lab
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -274,22 +274,4 @@
   }
 }
 
-void TokenBucket::refill(double now) {
-  if (now > last_) level_ = std::min(burst_, level_ + (now - last_) * rate_);
-  last_ = now;
-}
-
-bool TokenBucket::take(double n, double now) {
-  refill(now);
-  if (level_ < std::min(n, burst_)) return false;
-  level_ -= n;
-  return true;
-}
-
-double TokenBucket::wait_for(double n, double now) {
-  refill(now);
-  double missing = std::min(n, burst_) - level_;
-  return missing <= 0 ? 0 : missing / rate_;
-}
-
 }  // namespace oxbowmill::net
--- /dev/null
+++ b/src/recovery/words.cpp
@@ -0,0 +1,70 @@
+#include "oxbowmill/recovery/words.h"
+
+#include <algorithm>
+
+#include "oxbowmill/core/slow_tasks.h"
+
+namespace oxbowmill::recovery {
+
+namespace {
+constexpr double most_evidence = 50;  // suspicions that are remembered
+constexpr double least_chance = 0.05;
+}  // namespace
+
+const char* name_of(WordState s) {
+  static constexpr const char* names[] = {"none",    "booting",   "awaited",   "heard", "differing",
+                                          "squared", "suspected", "condemned", "lost"};
+  return names[static_cast<int>(s)];
+}
+
+void Experience::add(double back, double gone) {
+  double keep = back_ + gone_ + 1 > most_evidence ? (most_evidence - 1) / (back_ + gone_) : 1;
+  back_ = keep * back_ + back;
+  gone_ = keep * gone_ + gone;
+}
+
+double Experience::chance_of_return() const {
+  // One of each seen before anything was: without evidence the chances are even.
+  return std::max(least_chance, (back_ + 1) / (back_ + gone_ + 2));
+}
+
+Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor,
+                  const Settings& settings) {
+  OperatorSettings op;
+  op.finished_ratio = settings.heard_share;
+  op.multiplier = settings.multiplier;
+  op.baseline_floor_s = floor;
+  return slow_baseline(first_words, expected, op);
+}
+
+Stake stake(const Model& model, MachineIndex mi, Seconds proof_at, double chance_of_return, Seconds now) {
+  const Machine& m = model.machine(mi);
+  double waiting = 0;  // machines' worth of work that stands still until the proof
+  double at_risk = 0;  // machine-seconds of progress that go if it is alive
+  for (TaskId id : m.on) {
+    const Job* j = model.live_job(id.job);
+    const Placement* p = model.find_placement(id);
+    if (j == nullptr || p == nullptr || is_off(p->state)) continue;
+    double size = j->share;
+    bool broken = false;
+    if (j->spec.shape == Shape::gang) {
+      // The whole gang waits for its last member. Another member's word that it has lost its peers is the
+      // second witness, and then there is no progress left that the machine could hold.
+      size *= static_cast<double>(j->placed.size());
+      broken = std::any_of(j->placed.begin(), j->placed.end(),
+                           [](const auto& o) { return o.second.cause == EndCause::peers; });
+    }
+    waiting += size;
+    if (broken) continue;
+    double ran = now - p->started_at;
+    double unsaved = j->spec.save_every_s > 0 ? j->spec.save_every_s : std::max(ran, j->spec.estimate_s / 2);
+    at_risk += size * unsaved;
+  }
+  double boot = m.rec.type.v < model.catalog.size() ? model.catalog[m.rec.type.v].boot_s : 0;
+  Stake s;
+  s.gain = (1 - chance_of_return) * waiting * std::max(0.0, proof_at - now);
+  s.loss = chance_of_return * (boot + at_risk);
+  return s;
+}
+
+}  // namespace oxbowmill::recovery
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -38,18 +38,18 @@
       cloud_(base, config_.cloud, 3),
       cloud_bucket_(model_.settings.cloud_rps * 0.8, model_.settings.cloud_rps),
       tick_(base, [this] { tick(); }),
-      peers_(base, config_, &Node::now, [this] {
-        PeerNews n{model_.settings.node,
-                   std::max(known_revision_, scheduler_.seen_revision()),
-                   now() - store_.last_good() < state_ok_s,
-                   {}};
-        for (ZoneIndex z : scheduler_.dark_zones(now())) n.dark.push_back(model_.names.zones.name(z));
-        return n;
-      }) {
+      peers_(base, config_, &Node::now, [this] { return news(); }) {
   peers_.on_revision = [this](Stamp r) { mirror_.nudge(r); };
   peers_.on_dark = [this](const std::string& z) {
     scheduler_.heard_of_dark(model_.names.zones.find(z), now());
   };
+  if (config_.recovery.enabled) {
+    start_ = std::make_unique<recovery::Start>(model_, scheduler_, config_.recovery);
+    start_->on_state = [this] { peers_.tell(); };
+    scheduler_.set_gate(start_.get());
+    fleet_.set_gate(start_.get());
+    peers_.on_news = [this](const PeerNews& n) { heard_news(n); };
+  }
   peers_.on_relayed = [this](const net::Request& r) { on_report(r, true); };
   intake_.on_write = [this](Stamp r) {
     known_revision_ = std::max(known_revision_, r);
@@ -72,9 +72,6 @@
   SPDLOG_INFO("listening on {} for users and workers, on {} for controllers",
               net::to_string(server_->address()), net::to_string(peers_.address()));
   if (model_.settings.socket_limit > 0) server_->keep_alive_below(model_.settings.socket_limit * 7 / 8);
-  for (const config::Peer& p : config_.peers) all_nodes_.push_back(p.node);
-  all_nodes_.push_back(model_.settings.node);
-  std::sort(all_nodes_.begin(), all_nodes_.end());
   started_at_ = now();
   mirror_.start();
   tick_.after(0);
@@ -126,6 +123,10 @@
     r.responder->reply(503, "", 1);
     return;
   }
+  if (start_ && hold_.authority(now()) == Authority::full) {
+    scheduler_.notice_takeovers(now());
+    start_->on_report(*report, now());
+  }
   ReportAnswer a = scheduler_.on_report(*report, clock());
   switch (a.kind) {
     case ReportAnswer::Kind::ok:
@@ -173,7 +174,10 @@
 void Node::tick() {
   tick_.after(model_.settings.op.pass_interval_s);
   tend_hold();
-  if (mirror_.live()) claim_parts();
+  if (mirror_.live()) {
+    end_own_past();
+    claim_parts();
+  }
   if (now() >= next_catalog_) fetch_catalog();
   run_pass();
   pump_cloud();
@@ -214,6 +218,53 @@
   });
 }
 
+void Node::end_own_past() {
+  // A controller is one process: where this one runs, the one before it is gone for certain, and its parts
+  // need not wait for the end of a hold that nobody renews. After an outage of the state service that would
+  // be a hold's whole life.
+  if (past_ended_) return;
+  past_ended_ = true;
+  std::set<std::uint64_t> holds;
+  auto note = [&](const ClaimRecord& rec) {
+    if (rec.node == model_.settings.node && rec.hold != 0 && rec.hold != hold_.id()) holds.insert(rec.hold);
+  };
+  for (const auto& [name, live] : model_.nodes()) note(live.rec);
+  for (std::uint32_t p = 0; p < model_.parts(); ++p) {
+    if (model_.claim(PartIndex{p}).stamp != 0) note(model_.claim(PartIndex{p}).rec);
+  }
+  for (std::uint64_t id : holds) {
+    SPDLOG_INFO("ending hold {} of this controller's earlier process", id);
+    // Once, in hope: unanswered, it ends by itself a little later.
+    store_.end_hold(id, [](const StoreAnswer&) {});
+  }
+}
+
+PeerNews Node::news() const {
+  constexpr std::size_t most_suspects = 200;
+  PeerNews n;
+  n.node = model_.settings.node;
+  n.revision = std::max(known_revision_, scheduler_.seen_revision());
+  n.state_ok = now() - store_.last_good() < state_ok_s;
+  for (ZoneIndex z : scheduler_.dark_zones(now())) n.dark.push_back(model_.names.zones.name(z));
+  if (!start_) return n;
+  for (const recovery::PartWord& w : start_->part_words()) {
+    n.starts.push_back(
+        {model_.names.parts.name(w.part), w.claim, static_cast<std::uint32_t>(w.state), w.expected, w.heard});
+  }
+  for (MachineIndex m : start_->suspects(most_suspects)) n.suspects.push_back(model_.names.machines.name(m));
+  return n;
+}
+
+void Node::heard_news(const PeerNews& n) {
+  for (const StartWord& s : n.starts) {
+    if (s.state > static_cast<std::uint32_t>(recovery::PartState::serving)) continue;
+    start_->heard_of({model_.names.parts.find(s.part), s.claim, static_cast<recovery::PartState>(s.state),
+                      s.expected, s.heard},
+                     now());
+  }
+  for (const std::string& m : n.suspects) start_->heard_of_suspect(model_.find_recorded(m), now());
+}
+
 void Node::claim_parts() {
   double t = now();
   if (hold_.id() == 0 || hold_.authority(t) != Authority::full || !model_.catalog_known()) return;
@@ -246,7 +297,8 @@
       claim_at_.erase(p);
       continue;
     }
-    std::size_t turn = claim_turn(model_, part, model_.settings.node, young ? all_nodes_ : live);
+    std::size_t turn =
+        claim_turn(model_, part, model_.settings.node, young ? model_.settings.all_nodes : live);
     auto [it, fresh] = claim_at_.emplace(p, t + static_cast<double>(turn) * claim_stagger_s);
     if (t < it->second) continue;
     it->second = t + 3;
@@ -259,8 +311,10 @@
 void Node::run_pass() {
   if (!mirror_.live()) return;
   Effects out;
+  model_.wall_ahead = wall() - now();
   scheduler_.pass(clock(), out);
   if (hold_.authority(now()) == Authority::full) {
+    if (start_) start_->pass(now());
     fleet_.pass(clock(), out);
     if (trading_) trading_->pass(out);
   }
--- a/src/service/peers.cpp
+++ b/src/service/peers.cpp
@@ -1,7 +1,5 @@
 #include "oxbowmill/service/peers.h"
 
-#include <msgpack.hpp>
-
 #include "oxbowmill/wire/codec.h"
 
 namespace oxbowmill::service {
@@ -19,7 +17,7 @@
 std::string encode(const PeerNews& n) {
   msgpack::sbuffer out;
   msgpack::packer<msgpack::sbuffer> p(out);
-  p.pack_map(4);
+  p.pack_map(6);
   p.pack("node");
   p.pack(n.node);
   p.pack("revision");
@@ -28,9 +26,26 @@
   p.pack(n.state_ok);
   p.pack("dark");
   p.pack(n.dark);
+  p.pack("starts");
+  p.pack(n.starts);
+  p.pack("suspects");
+  p.pack(n.suspects);
   return {out.data(), out.size()};
 }
 
+namespace {
+template <class T>
+void read_hint(const std::map<std::string, msgpack::object>& fields, const char* name, T& out) {
+  auto it = fields.find(name);
+  if (it == fields.end()) return;
+  try {
+    it->second.convert(out);
+  } catch (const msgpack::type_error&) {
+    out = {};
+  }
+}
+}  // namespace
+
 std::optional<PeerNews> decode_news(const std::string& body) {
   try {
     msgpack::object_handle handle = msgpack::unpack(body.data(), body.size());
@@ -42,6 +57,9 @@
     fields.at("state_ok").convert(n.state_ok);
     auto dark = fields.find("dark");
     if (dark != fields.end()) dark->second.convert(n.dark);
+    // Hints: one that cannot be read costs no more than one that is missing.
+    read_hint(fields, "starts", n.starts);
+    read_hint(fields, "suspects", n.suspects);
     return n;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -102,6 +120,7 @@
   for (const std::string& zone : news->dark) {
     if (on_dark) on_dark(zone);
   }
+  if (on_news) on_news(*news);
 }
 
 bool Peers::any_has_state() const {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -142,6 +142,11 @@
                 1.5, std::move(fn)});
 }
 
+void Store::end_hold(std::uint64_t id, AnswerFn fn) {
+  requests_.take(1, now_());
+  send(holds_, {EVHTTP_REQ_DELETE, "/holds/" + std::to_string(id), "", 0, 1.5, std::move(fn)});
+}
+
 void Store::watch(const std::string& prefix, Stamp from, double hold_s, AnswerFn fn) {
   requests_.take(1, now_());
   send(watch_, {EVHTTP_REQ_GET,
--- a/tests/bench/market_bench.cpp
+++ b/tests/bench/market_bench.cpp
@@ -3,7 +3,7 @@
 #include <malloc.h>
 #include <spdlog/spdlog.h>
 
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
@@ -13,20 +13,20 @@
 
 struct Leader {
   explicit Leader(bool trading, double per_hour)
-      : model(standins::test_settings("node-0"), standins::test_names()),
+      : model(lab::test_settings("node-0"), lab::test_names()),
         hold(model.settings),
         scheduler(model, hold),
         fleet(model, scheduler) {
     model.settings.teams[1].most = {};
     model.settings.txn_ops = 48;
-    model.catalog = standins::test_catalog();
+    model.catalog = lab::test_catalog();
     hold.opened(1, now);
     Stamp rev = 0;
     for (std::uint32_t p = 0; p < model.parts(); ++p)
       model.apply({ClaimKey{PartIndex{p}}, ClaimRecord{"node-0", 1}, 1}, ++rev, now);
     // Every machine is full with a task that goes on.
     JobIndex running = model.intern_job("run-0");
-    JobSpec spec = standins::test_job("run-0", machines, 4);
+    JobSpec spec = lab::test_job("run-0", machines, 4);
     model.apply({JobKey{running}, JobRecord{spec, JobPhase::open}}, ++rev, now);
     std::map<std::uint32_t, ChunkRecord> chunks;
     for (std::uint32_t i = 0; i < machines; ++i) {
@@ -42,7 +42,7 @@
     for (auto& [c, rec] : chunks) model.apply({ChunkKey{running, c}, rec}, ++rev, now);
     for (std::uint32_t i = 1; i <= jobs; ++i) {
       std::string ref = "run-" + std::to_string(i);
-      JobSpec s = standins::test_job(ref, 8, 4);
+      JobSpec s = lab::test_job(ref, 8, 4);
       s.rank = i % 3 == 0 ? Rank::high : Rank::normal;
       s.spot = false;
       s.estimate_s = 60.0 * (1 + i % 7);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -5,8 +5,8 @@
 
 #include <cmath>
 
+#include "oxbowmill/lab/cluster.h"
 #include "oxbowmill/service/peers.h"
-#include "standins/cluster.h"
 
 namespace oxbowmill {
 namespace {
@@ -69,8 +69,8 @@
       {"runtime_s", missing, 400},
       {"unheard_of", Json::object(), 0},
   };
-  auto catalog = standins::test_catalog();
-  Settings settings = standins::test_settings("n");
+  auto catalog = lab::test_catalog();
+  Settings settings = lab::test_settings("n");
   for (const Case& c : cases) {
     Json j = good_submission();
     if (c.value.is_discarded()) {
@@ -78,7 +78,7 @@
     } else {
       j[c.field] = c.value;
     }
-    Names names = standins::test_names();
+    Names names = lab::test_names();
     JobSpec spec;
     auto body = wire::decode_map(wire::encode(j));
     ASSERT_TRUE(body) << c.field;
@@ -100,11 +100,10 @@
     Json j = good_submission();
     j["shape"] = c.shape;
     j["shards"] = c.tasks;
-    Names names = standins::test_names();
+    Names names = lab::test_names();
     JobSpec spec;
     ASSERT_FALSE(wire::read_submission(j, names, spec));
-    EXPECT_EQ(!wire::check_runnable(spec, standins::test_settings("n"), standins::test_catalog()), c.taken)
-        << c.shape;
+    EXPECT_EQ(!wire::check_runnable(spec, lab::test_settings("n"), lab::test_catalog()), c.taken) << c.shape;
   }
 }
 
@@ -120,7 +119,7 @@
 }
 
 TEST(Codec, SubmissionSurvivesItsRecord) {
-  Names names = standins::test_names();
+  Names names = lab::test_names();
   JobSpec spec;
   ASSERT_FALSE(wire::read_submission(good_submission(), names, spec));
   JobSpec again;
@@ -171,7 +170,7 @@
 }
 
 TEST(Codec, RecordsSurviveTheStateService) {
-  Model model(standins::test_settings("n"), standins::test_names());
+  Model model(lab::test_settings("n"), lab::test_names());
   ChunkRecord chunk;
   chunk.done = ~0ULL;
   chunk.restarted = 1ULL << 63;
@@ -192,7 +191,7 @@
 }
 
 TEST(Codec, UnreadableRecordsAreNoFacts) {
-  Model model(standins::test_settings("n"), standins::test_names());
+  Model model(lab::test_settings("n"), lab::test_names());
   Json number = 3, empty = Json::object();
   for (const char* key : {"o/j/run-1", "o/c/run-1/0", "o/m/m1", "x", "o/z/a"}) {
     EXPECT_FALSE(state::decode(key, &number, model)) << key;
@@ -205,12 +204,18 @@
 }
 
 TEST(Peers, NewsSurvivesTheLinkAndJunkIsRefused) {
-  auto n = service::decode_news(service::encode({"n1", 1ULL << 40, true, {"a"}}));
+  auto n =
+      service::decode_news(service::encode({"n1", 1ULL << 40, true, {"a"}, {{"red", 7, 2, 9, 3}}, {"m1"}}));
   ASSERT_TRUE(n);
   EXPECT_EQ(n->node, "n1");
   EXPECT_EQ(n->revision, 1ULL << 40);
   EXPECT_TRUE(n->state_ok);
   EXPECT_EQ(n->dark, std::vector<std::string>{"a"});
+  ASSERT_EQ(n->starts.size(), 1U);
+  EXPECT_EQ(n->starts[0].part, "red");
+  EXPECT_EQ(n->starts[0].claim, 7U);
+  EXPECT_EQ(n->starts[0].heard, 3U);
+  EXPECT_EQ(n->suspects, std::vector<std::string>{"m1"});
   for (const std::string& junk :
        {std::string(), std::string("x"), std::string("\x81\xa4node", 6), std::string(100, '\xff')}) {
     EXPECT_FALSE(service::decode_news(junk));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -80,11 +80,9 @@
 }
 
 OperatorSettings operators(const std::string& yaml) {
-  OperatorSettings op;
-  market::Settings markets;
-  Names names;
-  config::load_operator(yaml, op, markets, names);
-  return op;
+  config::Config c;
+  config::load_operator(yaml, c);
+  return c.settings.op;
 }
 
 std::string error_of(const std::string& toml, const std::string& yaml) {
--- a/tests/detector_test.cpp
+++ b/tests/detector_test.cpp
@@ -2,13 +2,13 @@
 #include <gtest/gtest.h>
 
 #include "oxbowmill/core/slow_tasks.h"
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
 
-using standins::Cluster;
-using standins::test_job;
+using lab::Cluster;
+using lab::test_job;
 
 TEST(Detector, BaselineAtItsEdges) {
   OperatorSettings op;
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -3,14 +3,14 @@
 
 #include <algorithm>
 
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
 
-using standins::Cluster;
-using standins::Fate;
-using standins::test_job;
+using lab::Cluster;
+using lab::Fate;
+using lab::test_job;
 using Kind = ReportAnswer::Kind;
 
 constexpr PartIndex red{1};
@@ -146,7 +146,7 @@
   c.add_machine("m1");
   c.run(2);
   ASSERT_NO_FATAL_FAILURE(hold_back_placement(c, 1));
-  c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/j/run-1"}}}}});
+  c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"delete", "o/j/run-1"}}}}});
   c.node(0).fate = Fate::answered;
   c.state.set_outage(true, c.now);
   c.now += 0.5;
@@ -273,7 +273,7 @@
 }
 
 TEST(Fencing, AuthorityFadesWithTheLastRenewalAndTheLastNews) {
-  Settings s = standins::test_settings("n");
+  Settings s = lab::test_settings("n");
   double life = s.op.hold_life_s, grace = s.grace_s();
   struct Case {
     double renewed, watched, now;
@@ -440,7 +440,7 @@
 }
 
 TEST(Fencing, PartsSpreadOverLiveNodes) {
-  Model model(standins::test_settings("n0"), standins::test_names());
+  Model model(lab::test_settings("n0"), lab::test_names());
   auto claim = [&model](std::uint32_t part, const std::string& node, Stamp stamp) {
     model.apply({ClaimKey{PartIndex{part}}, ClaimRecord{node, 1}, 1}, stamp, 100);
   };
@@ -461,7 +461,7 @@
   c.add_machine("m1");
   c.submit(test_job("run-1", 2));
   c.run(3);
-  standins::Controller late("node-9", c.state, standins::test_settings("node-9"));
+  lab::Controller late("node-9", c.state, lab::test_settings("node-9"));
   std::vector<std::string> keys;
   for (const auto& [key, e] : c.state.keys()) keys.push_back(key);
   std::sort(keys.begin(), keys.end());
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -9,10 +9,10 @@
 #include <thread>
 
 #include "oxbowmill/lab/market_server.h"
+#include "oxbowmill/lab/state.h"
+#include "oxbowmill/lab/worker.h"
 #include "oxbowmill/net/http.h"
 #include "oxbowmill/wire/codec.h"
-#include "standins/state.h"
-#include "standins/worker.h"
 
 namespace oxbowmill {
 namespace {
@@ -279,9 +279,9 @@
   }
 
   net::EventBasePtr base_;
-  standins::State state_;
-  standins::RunLog log_;
-  standins::Worker worker_;
+  lab::State state_;
+  lab::RunLog log_;
+  lab::Worker worker_;
   net::Address node_;
   std::thread reader_;  // hands the program's log on
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
@@ -535,7 +535,7 @@
   stop_program();
   EXPECT_TRUE(north.market().hosts().empty());  // killed before the auction was over
   start_program();
-  standins::Worker bought("north.m1", "a", log_);
+  lab::Worker bought("north.m1", "a", log_);
   worker_ = std::move(bought);
   worker_.lease_s = 6;
   until([&] { return worker_.has("run-1/0") && worker_.has("run-1/1"); },
--- a/tests/market_safety_test.cpp
+++ b/tests/market_safety_test.cpp
@@ -2,14 +2,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
 
-using standins::Cluster;
-using standins::Fate;
-using standins::test_job;
+using lab::Cluster;
+using lab::Fate;
+using lab::test_job;
 
 lab::Character north() {
   lab::Character c;
@@ -72,8 +72,7 @@
   auto record = c.state.keys().at("o/m/" + at);
   record.value["del"] = true;
   record.value["part"] = state::pool_name;
-  c.state.txn(
-      {{"guards", standins::Json::array()}, {"apply", {{{"put", "o/m/" + at}, {"value", record.value}}}}});
+  c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"put", "o/m/" + at}, {"value", record.value}}}}});
   double lease = c.node(0).model.settings.lease_s;
   for (double t = 0; t + 1 < lease; t += 0.5) {
     c.run(0.5);
@@ -113,7 +112,7 @@
   JobSpec spec = test_job("run-1", 1, 4);
   spec.zone = ZoneIndex{0};
   c.submit(spec);
-  c.state.txn({{"guards", standins::Json::array()},
+  c.state.txn({{"guards", lab::Json::array()},
                {"apply",
                 {{{"put", "o/m/north.x1"},
                   {"value",
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,14 +1,14 @@
 // Where tasks may go, and gangs: all or none, and what their members say together.
 #include <gtest/gtest.h>
 
-#include "oxbowmill/net/http.h"
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
+#include "oxbowmill/core/token_bucket.h"
 
 namespace oxbowmill {
 namespace {
 
-using standins::Cluster;
-using standins::test_job;
+using lab::Cluster;
+using lab::test_job;
 
 Bin bin(std::uint32_t zone, double gpus, bool image = false, bool spot = false) {
   return {MachineIndex{}, TypeIndex{0}, ZoneIndex{zone}, spot, 0, {32, gpus, 128}, 0, image ? 0.0 : 10.0};
@@ -438,7 +438,7 @@
 TEST(Fleet, MachineNobodyAskedForIsTakenIn) {
   Cluster c;
   c.add_machine("m1", "a", ".pool");
-  standins::Worker stranger("host-9", "b", c.log);
+  lab::Worker stranger("host-9", "b", c.log);
   auto a = c.node(0).hear(stranger.report(c.now), c.now);
   EXPECT_EQ(a.kind, ReportAnswer::Kind::ok);
   EXPECT_TRUE(a.orders.empty());
@@ -451,7 +451,7 @@
   Cluster c;
   c.submit(test_job("run-1", 1));
   c.node(0).sync(c.now);
-  standins::Worker stranger("host-9", "b", c.log);
+  lab::Worker stranger("host-9", "b", c.log);
   c.node(0).hear(stranger.report(c.now), c.now);
   std::size_t before = c.state.events().size();
   c.run(0.5);
@@ -463,7 +463,7 @@
 }
 
 TEST(Net, TokenBucketAllowsItsRateAndBurst) {
-  net::TokenBucket b(10, 5);
+  TokenBucket b(10, 5);
   int taken = 0;
   for (int i = 0; i < 20; ++i) taken += b.take(1, 100) ? 1 : 0;
   EXPECT_EQ(taken, 5);
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -1,13 +1,13 @@
 // Services: replicas that run until their job is cancelled, and how they share machines with other work.
 #include <gtest/gtest.h>
 
-#include "standins/cluster.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
 
-using standins::Cluster;
-using standins::test_job;
+using lab::Cluster;
+using lab::test_job;
 
 JobSpec service(const std::string& ref, std::uint32_t replicas) {
   JobSpec s = test_job(ref, replicas);
@@ -39,7 +39,7 @@
          c.add_machine("m2");
          c.run(2);
          c.silenced.insert("m1");
-         c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/m/m1"}}}}});
+         c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"delete", "o/m/m1"}}}}});
          c.worker("m1").tick(c.now + 100);  // it is gone
          c.run(3);
        },
@@ -141,8 +141,8 @@
 
 TEST(Sharing, ShortAndLastingWorkKeepApart) {
   // One lasting replica on a machine keeps it from every gang and from being returned.
-  MachineType type = standins::test_catalog()[0];
-  Model model(standins::test_settings("node-0"), standins::test_names());
+  MachineType type = lab::test_catalog()[0];
+  Model model(lab::test_settings("node-0"), lab::test_names());
   model.catalog = {type};
   auto whole = [&](bool spot) {
     Bin b{MachineIndex{}, TypeIndex{0}, ZoneIndex{0}, spot, 0, type.room};
@@ -286,8 +286,8 @@
   c.run(3);
   ASSERT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m1"});
   c.kill_node(0);
-  c.state.txn({{"guards", standins::Json::array()}, {"apply", {{{"delete", "o/m/m1"}}}}});
-  standins::Controller started("node-9", c.state, standins::test_settings("node-9"));
+  c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"delete", "o/m/m1"}}}}});
+  lab::Controller started("node-9", c.state, lab::test_settings("node-9"));
   started.list(c.now);
   ASSERT_TRUE(started.claim(PartIndex{1}, c.now));
   started.pass(c.now);
@@ -300,7 +300,7 @@
   Cluster c;
   c.add_machine("m1");
   c.run(2);
-  c.node(0).fate = standins::Fate::not_arrived;
+  c.node(0).fate = lab::Fate::not_arrived;
   c.submit(test_job("run-1", 1));
   c.run(8 * c.node(0).model.settings.op.give_back_s);
   ASSERT_FALSE(c.node(0).lost.empty());
