Suspicion once words have ceased; deletions by stakes; refusals forgotten after deletions

Cause: suspects waited for the arrival bound (12 and 14 s) though all living workers had spoken within 6 s of a start, and a fleet at the cloud's limit waited out the pause of a refusal after it had deleted its dead machines. Change: the threshold rests on the latest first word; the chance of a return falls with the length of the silence; a confirmed deletion lifts the refusal of its kind; a node takes its own past parts up first.

--- a/include/oxbowmill/lab/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -9,6 +9,7 @@
 #include "oxbowmill/lab/state.h"
 #include "oxbowmill/lab/worker.h"
 #include "oxbowmill/market/desk.h"
+#include "oxbowmill/recovery/start.h"
 #include "oxbowmill/service/outbox.h"
 
 namespace oxbowmill::lab {
@@ -20,9 +21,13 @@
 Names test_names();
 std::vector<MachineType> test_catalog();
 
+/// What a transaction that was answered so has come to.
+Outcome outcome_of(const std::optional<State::Result>& r);
+
 class Controller {
  public:
-  Controller(const std::string& name, State& state, Settings settings);
+  Controller(const std::string& name, State& state, Settings settings, Names names = test_names(),
+             std::vector<MachineType> catalog = test_catalog());
 
   /// Reads what there is, as a controller that has just started does.
   void list(double now);
@@ -32,7 +37,15 @@
   void claim_all(double now);
   void renew(double now);
   void pass(double now);
-  ReportAnswer hear(const WorkerReport& r, double now) { return scheduler.on_report(r, {now, now}); }
+  /// The first half of a pass: what is to be done, with nothing sent yet.
+  Effects decide(double now);
+  /// Sends one transaction; null where it does not arrive.
+  std::optional<State::Result> send(const Write& w);
+  /// What the sender hears of it.
+  void answered(const Write& w, Outcome outcome, Stamp revision, double now);
+  ReportAnswer hear(const WorkerReport& r, double now);
+  /// Starts are squared from now on, as `deploy/recovery.yaml` switches it on.
+  void square(const recovery::Settings& settings);
   /// Trades with these markets from now on; their names are known to the model.
   void trade(const market::Settings& settings, std::vector<Market>& markets);
 
@@ -48,6 +61,7 @@
   std::vector<MachineIndex> deletes;
   int refused = 0;
   std::unique_ptr<market::Desk> desk;
+  std::unique_ptr<recovery::Start> start;
 
  private:
   State& state_;
--- a/include/oxbowmill/lab/worker.h
+++ b/include/oxbowmill/lab/worker.h
@@ -42,6 +42,7 @@
   double recall_s = -1;
   double lease_s = 10;
   bool saves = true;
+  TaskPhase first_phase = TaskPhase::running;  // of a task that has just started
 
  private:
   void execute(const std::vector<Order>& orders);
--- a/include/oxbowmill/recovery/words.h
+++ b/include/oxbowmill/recovery/words.h
@@ -33,7 +33,7 @@
  public:
   void returned() { add(1, 0); }
   void lost() { add(0, 1); }
-  /// Chance that a suspect speaks again before its lease is over; never taken for impossible.
+  /// Chance that a suspect's trouble passes by itself; never taken for impossible.
   double chance_of_return() const;
   double returns() const { return back_; }
   double losses() const { return gone_; }
@@ -43,10 +43,15 @@
   double back_ = 0, gone_ = 0;
 };
 
-/// Silence from which on a machine is suspected: the design's floored, relative threshold, over the times in
-/// which the zone's machines first spoke. Below 0: too few have spoken.
-Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor,
+/// When in a start a machine that has not spoken is suspected: the design's floored, relative threshold, over
+/// the times (from the takeover, ascending) in which machines of its zone first spoke. It rests on the latest
+/// of them, not on a median: words come spread over a whole report interval, and only once they have ceased
+/// does silence mean something. Not later than `cap`. Below 0: too few have spoken.
+Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor, Seconds cap,
                   const Settings& settings);
+/// Chance that a machine silent for `silent_s` speaks within the next `rest_s`: of the troubles that pass by
+/// themselves, those that have lasted long last longer (durations without a scale of their own).
+double chance_of_word(const Experience& experience, Seconds silent_s, Seconds rest_s);
 
 /// What hangs on a machine, in machine-seconds: what deleting it at once is expected to gain over waiting for
 /// its lease, and what it costs if it comes back after all.
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -58,6 +58,7 @@
   unsigned cloud_turn_ = 0;
   Outbox outbox_;
   std::unordered_map<std::uint32_t, double> claim_at_;  // by part: when to try
+  std::set<std::uint32_t> past_parts_;                  // held by this node's earlier process until just now
   net::Timer tick_;
   double next_renew_ = 0, next_catalog_ = 0;
   double started_at_ = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -88,7 +88,13 @@
 void Fleet::on_deleted(const std::vector<MachineIndex>& machines, bool confirmed) {
   for (MachineIndex m : machines) {
     deleting_.erase(m);
-    if (confirmed) deleted_.insert(m);
+    if (!confirmed) continue;
+    deleted_.insert(m);
+    // What was deleted can be rented again: a refusal from before tells nothing any more. A fleet at the
+    // cloud's limit that loses many machines would wait out the pause without them.
+    const MachineRecord& rec = model_.machine(m).rec;
+    if (rec.mark == MachineMark::deleting && rec.type.valid())
+      refusals_.erase({rec.type, rec.zone, rec.spot});
   }
 }
 
--- a/src/lab/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -44,14 +44,29 @@
   return s;
 }
 
-Controller::Controller(const std::string& n, State& state, Settings settings)
+Controller::Controller(const std::string& n, State& state, Settings settings, Names names,
+                       std::vector<MachineType> catalog)
     : name(n),
-      model(std::move(settings), test_names()),
+      model(std::move(settings), std::move(names)),
       hold(model.settings),
       scheduler(model, hold),
       fleet(model, scheduler),
       state_(state) {
-  model.catalog = test_catalog();
+  model.catalog = std::move(catalog);
+}
+
+void Controller::square(const recovery::Settings& settings) {
+  start = std::make_unique<recovery::Start>(model, scheduler, settings);
+  scheduler.set_gate(start.get());
+  fleet.set_gate(start.get());
+}
+
+ReportAnswer Controller::hear(const WorkerReport& r, double now) {
+  if (start && hold.authority(now) == Authority::full) {
+    scheduler.notice_takeovers(now);
+    start->on_report(r, now);
+  }
+  return scheduler.on_report(r, {now, now});
 }
 
 void Controller::list(double now) {
@@ -95,10 +110,38 @@
   if (state_.renew(hold.id(), now)) hold.renewed(now);
 }
 
-void Controller::pass(double now) {
+Effects Controller::decide(double now) {
   Effects out;
   scheduler.pass({now, now}, out);
+  if (hold.authority(now) != Authority::full) return out;
+  if (start) start->pass(now);
   fleet.pass({now, now}, out);
+  return out;
+}
+
+std::optional<State::Result> Controller::send(const Write& w) {
+  Json body = outbox_.keep(w, model).body;
+  if (fate == Fate::not_arrived) {
+    lost.push_back(body);
+    return std::nullopt;
+  }
+  State::Result r = state_.txn(body);
+  if (r.status == 409) ++refused;
+  return r;
+}
+
+void Controller::answered(const Write& w, Outcome outcome, Stamp revision, double now) {
+  if (outcome != Outcome::unknown) sync(now);
+  if (!scheduler.on_outcome(w.id, outcome, revision, now)) outbox_.drop(w.id);
+}
+
+Outcome outcome_of(const std::optional<State::Result>& r) {
+  if (!r) return Outcome::unknown;
+  return r->status == 200 ? Outcome::applied : r->status == 409 ? Outcome::refused : Outcome::not_executed;
+}
+
+void Controller::pass(double now) {
+  Effects out = decide(now);
   if (desk) {
     // Beside the markets the cloud has nothing to give.
     for (const RentOrder& r : out.rents) fleet.on_rented(r.request, true, {}, now);
@@ -111,21 +154,9 @@
   rents.insert(rents.end(), out.rents.begin(), out.rents.end());
   deletes.insert(deletes.end(), out.deletes.begin(), out.deletes.end());
   for (const Write& w : out.writes) {
-    Json body = outbox_.keep(w, model).body;
-    if (fate == Fate::not_arrived) {
-      lost.push_back(body);
-      scheduler.on_outcome(w.id, Outcome::unknown, 0, now);
-      continue;
-    }
-    State::Result r = state_.txn(body);
-    if (r.status == 409) ++refused;
-    Outcome outcome = fate == Fate::answer_lost ? Outcome::unknown
-                      : r.status == 200         ? Outcome::applied
-                      : r.status == 409         ? Outcome::refused
-                                                : Outcome::not_executed;
-    if (outcome != Outcome::unknown) sync(now);
-    if (!scheduler.on_outcome(w.id, outcome, r.body.value("ledger_rev", std::uint64_t{0}), now))
-      outbox_.drop(w.id);
+    auto r = send(w);
+    Stamp revision = r ? r->body.value("ledger_rev", std::uint64_t{0}) : 0;
+    answered(w, fate == Fate::answer_lost ? Outcome::unknown : outcome_of(r), revision, now);
   }
 }
 
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -56,7 +56,7 @@
       t.job = o.job;
       t.task = o.task;
       t.attempt = o.attempt;
-      t.phase = TaskPhase::running;
+      t.phase = first_phase;
       tasks_[id] = t;
       log_->start(id, name_);
     } else if (o.verb == OrderVerb::kill && same && it->second.phase != TaskPhase::ended) {
--- a/src/recovery/difference.cpp
+++ b/src/recovery/difference.cpp
@@ -17,7 +17,10 @@
 bool Differences::any() const {
   for (std::size_t i = 0; i < difference_kinds; ++i) {
     auto kind = static_cast<Difference>(i);
-    if (kind != Difference::foreign_market && kind != Difference::leftover && count[i] != 0) return true;
+    // A first word never shows the new token: that is waited for (`heard`), and tells nothing by itself.
+    bool settles_itself =
+        kind == Difference::foreign_market || kind == Difference::leftover || kind == Difference::old_token;
+    if (!settles_itself && count[i] != 0) return true;
   }
   return false;
 }
--- a/src/recovery/start.cpp
+++ b/src/recovery/start.cpp
@@ -12,6 +12,8 @@
 constexpr double told_s = 3;     // a peer's word counts so long
 constexpr std::uint32_t least_speakers = 4;  // machines that can speak for a zone
 constexpr double easing_windows = 2;
+// A worker without an owner knocks again every second, or after the time-out of a report that hangs.
+constexpr double first_word_s = oxbowmill::Settings::report_timeout_s + 2;
 constexpr double rhythm = 1.6;  // report intervals within which a machine that is there has spoken
 }  // namespace
 
@@ -136,7 +138,7 @@
     ++part.counts.heard;
     if (m.taken_over) part.zones[m.rec.zone.v].first_words.push_back(now - part.since);
     part.counts.first += w.differences;
-    if (token_shown && !w.differences.any()) ++part.counts.matched;
+    if (!w.differences.any()) ++part.counts.matched;
   }
   set_state(mi,
             !token_shown          ? WordState::heard
@@ -169,7 +171,7 @@
 
 void Start::doubt(PartIndex p, Seconds now) {
   Part& part = parts_[p.v];
-  Seconds floor = model_.settings.arrival_s();
+  Seconds patience = model_.settings.arrival_s();
   for (MachineIndex mi : model_.machines_of(p)) {
     const Machine& m = model_.machine(mi);
     Word& w = word_of(mi);
@@ -190,17 +192,18 @@
     Zone& z = part.zones[m.rec.zone.v];
     bool speaks = z.due >= least_speakers && z.heard >= settings_.heard_share * z.due;
     Seconds from = std::max({m.last_answered, m.part_since, z.clear_since, clear_since_});
-    Seconds after = floor;
+    Seconds after = patience;
     if (m.taken_over && m.last_answered < 0) {
       auto expected = static_cast<std::uint32_t>(z.due);
-      double t = threshold(z.first_words, expected, floor, settings_);
+      double t = threshold(z.first_words, expected, first_word_s, patience, settings_);
       after = t < 0 ? 1e9 : t;
     }
     if (w.state != WordState::suspected && w.state != WordState::condemned) {
       if (speaks && now - from > after) set_state(mi, WordState::suspected, now);
     }
     if (w.state == WordState::suspected && settings_.delete_suspects && speaks && !m.rec.market.valid()) {
-      Stake s = stake(model_, mi, scheduler_.proved_empty_at(m), experience_.chance_of_return(), now);
+      Seconds proof_at = scheduler_.proved_empty_at(m);
+      Stake s = stake(model_, mi, proof_at, chance_of_word(experience_, now - from, proof_at - now), now);
       if (s.pays()) set_state(mi, WordState::condemned, now);
     }
   }
@@ -341,23 +344,24 @@
 
 std::vector<Replacement> Start::replacements(Seconds now) const {
   std::vector<Replacement> out;
-  std::size_t up = 0, working = 0, replaced = 0;
+  std::size_t up = 0, replaced = 0;
+  double gone = 0;  // how many are expected not to come back
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     MachineIndex mi{i};
     const Machine& m = model_.machine(mi);
     if (m.stamp == 0) continue;
     up += m.up ? 1 : 0;
     if (m.on.empty() || !suspected(mi) || scheduler_.dark(m.rec.zone, now)) continue;
-    ++working;
+    Seconds from = std::max(m.last_answered, m.part_since);
+    Seconds proof_at = from + model_.settings.lease_over_s();
+    gone += 1 - chance_of_word(experience_, now - from, proof_at - now);
     if (mi.v < words_.size() && words_[mi.v].replaced) {
       ++replaced;
     } else {
       out.push_back({mi, m.rec.part, {m.rec.type, m.rec.zone, m.rec.spot}});
     }
   }
-  // As many as are expected not to come back, within the bound.
-  double wanted = std::min((1 - experience_.chance_of_return()) * static_cast<double>(working),
-                           settings_.replace_share * static_cast<double>(up));
+  double wanted = std::min(gone, settings_.replace_share * static_cast<double>(up));
   auto rest = static_cast<std::size_t>(std::max(0.0, wanted - static_cast<double>(replaced)));
   if (out.size() > rest) out.resize(rest);
   return out;
--- a/src/recovery/words.cpp
+++ b/src/recovery/words.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "oxbowmill/core/slow_tasks.h"
-
 namespace oxbowmill::recovery {
 
 namespace {
@@ -28,13 +26,16 @@
   return std::max(least_chance, (back_ + 1) / (back_ + gone_ + 2));
 }
 
-Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor,
+Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor, Seconds cap,
                   const Settings& settings) {
-  OperatorSettings op;
-  op.finished_ratio = settings.heard_share;
-  op.multiplier = settings.multiplier;
-  op.baseline_floor_s = floor;
-  return slow_baseline(first_words, expected, op);
+  if (first_words.empty() || static_cast<double>(first_words.size()) < settings.heard_share * expected)
+    return -1;
+  return std::min(cap, std::max(floor, settings.multiplier * first_words.back()));
+}
+
+double chance_of_word(const Experience& experience, Seconds silent_s, Seconds rest_s) {
+  if (rest_s <= 0) return 0;
+  return experience.chance_of_return() * rest_s / (rest_s + std::max(0.0, silent_s));
 }
 
 Stake stake(const Model& model, MachineIndex mi, Seconds proof_at, double chance_of_return, Seconds now) {
@@ -57,7 +58,9 @@
     waiting += size;
     if (broken) continue;
     double ran = now - p->started_at;
-    double unsaved = j->spec.save_every_s > 0 ? j->spec.save_every_s : std::max(ran, j->spec.estimate_s / 2);
+    // Half an interval on average since the last checkpoint.
+    double unsaved =
+        j->spec.save_every_s > 0 ? j->spec.save_every_s / 2 : std::max(ran, j->spec.estimate_s / 2);
     at_risk += size * unsaved;
   }
   double boot = m.rec.type.v < model.catalog.size() ? model.catalog[m.rec.type.v].boot_s : 0;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -226,11 +226,14 @@
   past_ended_ = true;
   std::set<std::uint64_t> holds;
   auto note = [&](const ClaimRecord& rec) {
-    if (rec.node == model_.settings.node && rec.hold != 0 && rec.hold != hold_.id()) holds.insert(rec.hold);
+    bool past = rec.node == model_.settings.node && rec.hold != 0 && rec.hold != hold_.id();
+    if (past) holds.insert(rec.hold);
+    return past;
   };
   for (const auto& [name, live] : model_.nodes()) note(live.rec);
   for (std::uint32_t p = 0; p < model_.parts(); ++p) {
-    if (model_.claim(PartIndex{p}).stamp != 0) note(model_.claim(PartIndex{p}).rec);
+    // Its parts are this node's to take up again: nobody else need wait for a turn to pass.
+    if (model_.claim(PartIndex{p}).stamp != 0 && note(model_.claim(PartIndex{p}).rec)) past_parts_.insert(p);
   }
   for (std::uint64_t id : holds) {
     SPDLOG_INFO("ending hold {} of this controller's earlier process", id);
@@ -297,8 +300,9 @@
       claim_at_.erase(p);
       continue;
     }
-    std::size_t turn =
-        claim_turn(model_, part, model_.settings.node, young ? model_.settings.all_nodes : live);
+    std::size_t turn = past_parts_.erase(p) != 0 ? 0
+                                                 : claim_turn(model_, part, model_.settings.node,
+                                                              young ? model_.settings.all_nodes : live);
     auto [it, fresh] = claim_at_.emplace(p, t + static_cast<double>(turn) * claim_stagger_s);
     if (t < it->second) continue;
     it->second = t + 3;
