Lab: a whole cluster on a simulated clock, with faults by script

Need: starts and hand-overs can be compared only where the same seed is played undisturbed, as it was, as it is and by one that knows who is alive.

--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "oxbowmill/lab/experiment.h"
+#include "oxbowmill/lab/fleet_experiment.h"
 #include "oxbowmill/lab/market_server.h"
 
 namespace {
@@ -20,6 +21,20 @@
   return s.size() >= end.size() && s.compare(s.size() - end.size(), end.size(), end) == 0;
 }
 
+template <class Rows, class Summary>
+int write_out(const std::string& name, const Rows& rows, const Summary& summary, const std::string& report) {
+  std::cout << lab::table(name, summary);
+  if (report.empty()) return 0;
+  std::ofstream out(report);
+  if (ends_with(report, ".json")) {
+    out << lab::json(name, summary).dump(2) << '\n';
+  } else {
+    out << lab::csv(name, rows);
+  }
+  if (!out) throw std::runtime_error(report + ": cannot be written");
+  return 0;
+}
+
 int markets(const std::string& file, unsigned seeds, unsigned threads, const std::string& report,
             unsigned long long one, const std::string& policy) {
   lab::Scenario s = lab::load_scenario(file);
@@ -31,17 +46,24 @@
     return 0;
   }
   auto rows = lab::play(s, seeds, threads);
-  auto summary = lab::summarise(rows);
-  std::cout << lab::table(s.name, summary);
-  if (report.empty()) return 0;
-  std::ofstream out(report);
-  if (ends_with(report, ".json")) {
-    out << lab::json(s.name, summary).dump(2) << '\n';
-  } else {
-    out << lab::csv(s.name, rows);
+  return write_out(s.name, rows, lab::summarise(rows), report);
+}
+
+int cluster(const std::string& file, const std::string& fleet, unsigned seeds, unsigned threads, const std::string& report,
+            unsigned long long one, const std::string& way) {
+  lab::FleetScenario s = lab::load_fleet_scenario(file, fleet);
+  if (one != 0) {
+    auto w = std::find_if(std::begin(lab::ways), std::end(lab::ways),
+                          [&](lab::Way x) { return way == lab::name_of(x); });
+    if (w == std::end(lab::ways)) throw std::runtime_error("--way: none is named " + way);
+    std::cout << lab::csv(s.name, {{*w, one, lab::FleetWorld(s, *w, one).run()}});
+    return 0;
   }
-  if (!out) throw std::runtime_error(report + ": cannot be written");
-  return 0;
+  auto rows = lab::play(s, seeds, threads);
+  auto summary = lab::summarise(s, rows);
+  write_out(s.name + " on " + s.fleet, rows, summary, report);
+  // A broken rule is a failure whatever the figures say.
+  return std::any_of(summary.begin(), summary.end(), [](const auto& x) { return x.broken != 0; }) ? 1 : 0;
 }
 
 int serve(const std::string& file, const std::string& name, const std::string& listen) {
@@ -78,6 +100,15 @@
   m->add_option("--report", report, "file for the figures: .json by policy, else CSV by seed");
   m->add_option("--one", one, "play this seed alone (LOG_LEVEL=info tells what happens)");
   m->add_option("--policy", policy, "with --one: planner, cheapest, one, even or bound");
+  std::string way = "now", fleet;
+  auto* c = app.add_subcommand("cluster", "a whole cluster through a start, beside its undisturbed twin");
+  c->add_option("scenario", file, "scenario file (YAML)")->required();
+  c->add_option("--fleet", fleet, "the cluster that has its faults (YAML)")->required();
+  c->add_option("--seeds", seeds, "how many seeds, from 1 on");
+  c->add_option("--threads", threads, "how many at a time");
+  c->add_option("--report", report, "file for the figures: .json by way, else CSV by second");
+  c->add_option("--one", one, "play this seed alone, second by second (LOG_LEVEL=info tells what happens)");
+  c->add_option("--way", way, "with --one: twin, before, now or bound");
   std::string name, listen = "127.0.0.1:0";
   auto* one_market =
       app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
@@ -87,6 +118,7 @@
   try {
     app.parse(argc, argv);
     if (one_market->parsed()) return serve(file, name, listen);
+    if (c->parsed()) return cluster(file, fleet, seeds, threads, report, one, way);
     return markets(file, seeds, threads, report, one, policy);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : 2;
--- /dev/null
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -0,0 +1,93 @@
+// A whole cluster on a simulated clock: several controllers' cores, a state service and a cloud with limits
+// and outages, and workers by the hundred that report, fetch, run, save and lose work. Faults come by script.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <random>
+
+#include "oxbowmill/core/token_bucket.h"
+#include "oxbowmill/lab/cluster.h"
+
+namespace oxbowmill::lab {
+
+/// How a cluster is played.
+enum class Way : std::uint8_t {
+  twin,    // without its faults
+  before,  // the start as it was: nothing squared, nobody suspected, the old owner's grace waited for
+  now,     // as `deploy/recovery.yaml` switches it on
+  bound,   // told at once who is dead, and never wrong
+};
+constexpr Way ways[] = {Way::twin, Way::before, Way::now, Way::bound};
+const char* name_of(Way w);
+
+enum class FaultKind : std::uint8_t {
+  all_down,    // every controller ends; back after `for_s`, each `stagger_s` after the one before
+  owner_down,  // the owner of the most machines ends
+  state_outage,
+  state_slow,  // the state service takes `share` of its changes a second
+  cloud_outage,
+  machines_die,
+  machines_hang,  // silent and at a standstill for `for_s`
+  zone_cut,       // one zone's workers reach nobody
+  freeze,         // the owner of the most machines stands still
+  finish_all,     // what runs ends at this moment
+  cancel,         // users cancel `share` of the running jobs
+  gang_member,    // the first machine of `count` gangs dies
+  late_reports,   // reports of `count` machines are held back here and delivered after `for_s`
+};
+
+struct Fault {
+  double at_s = 0;
+  FaultKind kind = FaultKind::all_down;
+  double for_s = 5, stagger_s = 0, share = 0;
+  std::uint32_t count = 0;
+  std::string zone;
+};
+
+struct FleetScenario {
+  std::string name, fleet;
+  double warm_s = 86, length_s = 200;  // faults count from the first on
+  std::uint32_t controllers = 3, zones = 4;
+  std::uint32_t up = 600, capacity = 820, spot = 100;  // machines: at the start, in all, spot ones among them
+  double report_s = 4, lease_s = 22, cancel_s = 52, boot_s = 25, fetch_gb_per_s = 0.5;
+  double write_rps = 300, cloud_rps = 12;
+  std::size_t txn_ops = 48;
+  std::uint32_t gangs = 200, arrays = 90;     // at the start
+  double gangs_a_s = 0.45, arrays_a_s = 0.8;  // arrivals
+  double gang_s = 150, array_s = 70;          // medians of run times
+  double guaranteed_gpus = 1200, most_gpus = 3500;
+  std::vector<Fault> faults;
+};
+/// Reads the faults from one file and the cluster that has them from another (YAML); throws yaml::Error with
+/// file, key and reason.
+FleetScenario load_fleet_scenario(const std::string& file, const std::string& fleet);
+
+struct Second {
+  double gpus = 0;  // in use by running tasks
+  std::uint32_t returns = 0, rentals = 0, starts = 0, kills = 0, changes = 0;
+};
+
+struct FleetResult {
+  std::vector<Second> seconds;
+  std::array<std::uint32_t, 2> done{}, of_class{};  // tasks by class: gang, array
+  std::array<std::uint32_t, 2> of_team{};
+  std::uint32_t undone = 0;  // machines returned alive and rented again, or rented and returned unused
+  double lost_s = 0;         // run time that has to be repeated
+  std::uint32_t suspected = 0, returned = 0, condemned_alive = 0;
+  double squared_s = -1;            // from the first fault until every part was squared; below 0: not
+  std::vector<std::string> broken;  // rules
+};
+
+class FleetWorld {
+ public:
+  FleetWorld(const FleetScenario& s, Way way, std::uint64_t seed);
+  ~FleetWorld();
+  FleetResult run();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace oxbowmill::lab
--- a/include/oxbowmill/lab/worker.h
+++ b/include/oxbowmill/lab/worker.h
@@ -35,6 +35,7 @@
   void finish(const std::string& task, EndCause cause, bool saved = false);
   void set_phase(const std::string& task, TaskPhase phase);
   bool has(const std::string& task) const;
+  const std::map<std::string, TaskReport>& tasks() const { return tasks_; }
   TaskPhase phase(const std::string& task) const { return tasks_.at(task).phase; }
   Attempt attempt(const std::string& task) const { return tasks_.at(task).attempt; }
   const std::string& name() const { return name_; }
--- /dev/null
+++ b/src/lab/fleet_world.cpp
@@ -0,0 +1,960 @@
+#include "oxbowmill/lab/fleet_world.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "oxbowmill/yaml/map.h"
+
+namespace oxbowmill::lab {
+
+namespace {
+
+constexpr double step_s = 0.1;
+constexpr double image_gb[] = {4, 6, 8, 10, 12};
+constexpr double save_every_s = 30, flush_s = 3;
+constexpr double warm_s = 60;    // before it, nothing is counted as returned in vain
+constexpr double undone_s = 60;  // a return is undone by a rental within this time
+constexpr double listed_dead_s = 30;
+constexpr double list_lag_s = 4;
+
+const std::map<std::string, FaultKind>& fault_names() {
+  static const std::map<std::string, FaultKind> names = {{"all_down", FaultKind::all_down},
+                                                         {"owner_down", FaultKind::owner_down},
+                                                         {"state_outage", FaultKind::state_outage},
+                                                         {"state_slow", FaultKind::state_slow},
+                                                         {"cloud_outage", FaultKind::cloud_outage},
+                                                         {"machines_die", FaultKind::machines_die},
+                                                         {"machines_hang", FaultKind::machines_hang},
+                                                         {"zone_cut", FaultKind::zone_cut},
+                                                         {"freeze", FaultKind::freeze},
+                                                         {"finish_all", FaultKind::finish_all},
+                                                         {"cancel", FaultKind::cancel},
+                                                         {"gang_member", FaultKind::gang_member},
+                                                         {"late_reports", FaultKind::late_reports}};
+  return names;
+}
+
+/// Start with the truth about machines: who is dead is suspected and condemned at once, and nobody else.
+class Oracle : public recovery::Start {
+ public:
+  Oracle(const Model& model, const Scheduler& scheduler, const recovery::Settings& s,
+         std::function<bool(const std::string&)> dead)
+      : Start(model, scheduler, s), model_(model), dead_(std::move(dead)) {}
+  bool suspected(MachineIndex m) const override { return dead_(model_.names.machines.name(m)); }
+  bool condemned(MachineIndex m) const override {
+    return suspected(m) && model_.machine(m).rec.mark == MachineMark::none;
+  }
+
+ private:
+  const Model& model_;
+  std::function<bool(const std::string&)> dead_;
+};
+
+}  // namespace
+
+const char* name_of(Way w) {
+  static constexpr const char* names[] = {"twin", "before", "now", "bound"};
+  return names[static_cast<int>(w)];
+}
+
+void load_fleet(const std::string& file, FleetScenario& s) {
+  yaml::Map r(file, "", yaml::load(file));
+  r.get("fleet", s.fleet).get("length_s", s.length_s).get("controllers", s.controllers).get("zones", s.zones);
+  r.get("up", s.up).get("capacity", s.capacity).get("spot", s.spot).get("report_s", s.report_s);
+  r.get("lease_s", s.lease_s).get("cancel_s", s.cancel_s).get("boot_s", s.boot_s);
+  r.get("fetch_gb_per_s", s.fetch_gb_per_s).get("write_rps", s.write_rps).get("cloud_rps", s.cloud_rps);
+  r.get("txn_ops", s.txn_ops).get("gangs", s.gangs).get("arrays", s.arrays).get("gangs_a_s", s.gangs_a_s);
+  r.get("arrays_a_s", s.arrays_a_s).get("gang_s", s.gang_s).get("array_s", s.array_s);
+  r.get("guaranteed_gpus", s.guaranteed_gpus).get("most_gpus", s.most_gpus);
+  r.done();
+}
+
+FleetScenario load_fleet_scenario(const std::string& file, const std::string& fleet) {
+  FleetScenario s;
+  load_fleet(fleet, s);
+  yaml::Map r(file, "", yaml::load(file));
+  r.get("name", s.name);
+  YAML::Node faults = r.take("faults").value_or(YAML::Node(YAML::NodeType::Undefined));
+  r.done();
+  for (std::size_t i = 0; faults && i < faults.size(); ++i) {
+    Fault f;
+    yaml::Map m = r.sub("faults[" + std::to_string(i) + "]", faults[i]);
+    auto kind = fault_names().find(m.text("kind"));
+    if (kind == fault_names().end()) m.fail("kind", "no such fault");
+    f.kind = kind->second;
+    m.get("at_s", f.at_s).get("for_s", f.for_s).get("stagger_s", f.stagger_s).get("share", f.share);
+    m.get("count", f.count).get("zone", f.zone);
+    m.done();
+    s.faults.push_back(f);
+  }
+  return s;
+}
+
+struct FleetWorld::Impl {
+  struct Node {
+    std::unique_ptr<Controller> core;  // none: down
+    double back_at = -1, frozen_until = -1, next_renew = 0, next_news = 0, next_sync = 0, up_since = 0;
+    bool listed = false;
+    std::map<std::uint32_t, double> claim_at;
+    std::array<std::deque<Write>, 6> queues;
+    struct Answer {
+      double at;
+      Write write;
+      std::optional<State::Result> result;
+    };
+    std::deque<Answer> answers;
+    TokenBucket changes{1, 1};
+    std::set<std::uint32_t> past_parts;
+  };
+  struct Host {
+    std::unique_ptr<Worker> worker;
+    std::uint32_t zone = 0;
+    bool spot = false, alive = true, known = false, used = false;
+    double up_at = 0, born = 0, died = -1, hung_until = -1, next_report = 0;
+    std::size_t node = 0;
+    std::map<std::uint32_t, double> images;  // and when fetched
+  };
+  struct Run {
+    std::string host, id;
+    Host* at = nullptr;
+    double ready_at = 0, started = -1;
+  };
+  struct JobInfo {
+    std::uint32_t cls = 0, team = 0, tasks = 0, image = 0;
+    double run_s = 0, gpus = 1, cancelled_at = -1;
+    std::map<TaskNo, Run> runs;      // by task, as its machine has it
+    std::map<TaskNo, double> saved;  // progress in a checkpoint
+    double gang_started = -1, gang_saved = 0, gang_lost_at = -1;
+    std::set<TaskNo> done;
+  };
+
+  Impl(const FleetScenario& scenario, Way way_, std::uint64_t seed)
+      : s(scenario),
+        way(way_),
+        random(seed),
+        writes(s.write_rps, s.write_rps),
+        cloud(s.cloud_rps, 2 * s.cloud_rps) {
+    state.txn_ops = s.txn_ops;
+    state.value_bytes = 8192;
+    for (std::uint32_t z = 0; z < s.zones; ++z)
+      zone_names.push_back(std::string(1, static_cast<char>('a' + z)));
+    nodes.resize(s.controllers);
+    for (std::uint32_t i = 0; i < s.up; ++i) add_host(0, false, true);
+    for (std::uint32_t i = 0; i < s.gangs; ++i) submit(0);
+    for (std::uint32_t i = 0; i < s.arrays; ++i) submit(1);
+    for (std::size_t i = 0; i < nodes.size(); ++i) boot(i);
+    faults = way == Way::twin ? std::vector<Fault>{} : s.faults;
+    std::sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.at_s < b.at_s; });
+    if (!s.faults.empty()) first_fault = s.faults.front().at_s;
+    for (const Fault& f : s.faults) first_fault = std::min(first_fault, f.at_s);
+  }
+
+  double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); }
+  std::uint32_t pick(std::uint32_t n) {
+    return std::uniform_int_distribution<std::uint32_t>(0, n - 1)(random);
+  }
+  std::string node_name(std::size_t i) const { return "node-" + std::to_string(i); }
+
+  Settings settings(std::size_t i) const {
+    Settings x;
+    x.node = node_name(i);
+    x.nodes = s.controllers;
+    if (way != Way::before) {
+      for (std::size_t k = 0; k < s.controllers; ++k) x.all_nodes.push_back(node_name(k));
+    }
+    Team team{{0, s.guaranteed_gpus, 0}, {0, s.most_gpus, 0}};
+    x.teams = {{}, team, team};
+    x.report_s = s.report_s;
+    x.lease_s = s.lease_s;
+    x.cancel_s = s.cancel_s;
+    x.state_rps = 4 * s.write_rps;
+    x.state_write_rps = s.write_rps;
+    x.txn_ops = s.txn_ops;
+    x.value_kb = 8;
+    x.cloud_rps = s.cloud_rps;
+    x.list_lag_s = list_lag_s;
+    return x;
+  }
+  Names names() const {
+    Names n = test_names();
+    for (const std::string& z : zone_names) n.zones.intern(z);
+    for (std::size_t i = 0; i < std::size(image_gb); ++i) n.images.intern("img-" + std::to_string(i));
+    return n;
+  }
+  std::vector<MachineType> catalog() const {
+    MachineType t = test_catalog().front();
+    t.cache_gb = 100;
+    t.fetch_gb_per_s = s.fetch_gb_per_s;
+    t.boot_s = s.boot_s;
+    t.zones.clear();
+    for (std::uint32_t z = 0; z < s.zones; ++z) t.zones.push_back(ZoneIndex{z});
+    return {t};
+  }
+
+  // --- Controllers.
+
+  void boot(std::size_t i) {
+    Node& n = nodes[i];
+    n = Node();
+    n.up_since = now;
+    n.core = std::make_unique<Controller>(node_name(i), state, settings(i), names(), catalog());
+    n.changes.set_rate(0.7 * s.write_rps, std::max(0.35 * s.write_rps, double(s.txn_ops)));
+    if (way != Way::before) n.core->model.wall_ahead = wall_ahead;
+    if (way == Way::now || way == Way::twin) {
+      recovery::Settings r;
+      r.enabled = true;
+      n.core->square(r);
+    } else if (way == Way::bound) {
+      n.core->start = std::make_unique<Oracle>(n.core->model, n.core->scheduler, recovery::Settings(),
+                                               [this](const std::string& m) {
+                                                 auto h = hosts.find(m);
+                                                 return h != hosts.end() && !h->second.alive;
+                                               });
+      n.core->scheduler.set_gate(n.core->start.get());
+      n.core->fleet.set_gate(n.core->start.get());
+    }
+  }
+
+  void down(std::size_t i, double back_at) {
+    collect(nodes[i]);
+    nodes[i] = Node();
+    nodes[i].back_at = back_at;
+  }
+
+  void collect(const Node& n) {
+    if (!n.core || !n.core->start) return;
+    for (std::uint32_t p = 0; p < n.core->model.parts(); ++p) {
+      const auto& c = n.core->start->counts(PartIndex{p});
+      result.suspected += c.suspected;
+      result.returned += c.returned;
+    }
+  }
+
+  bool acts(const Node& n) const { return n.core && now >= n.frozen_until; }
+
+  void tend(std::size_t i) {
+    Node& n = nodes[i];
+    if (!n.core) {
+      if (n.back_at < 0 || now < n.back_at) return;
+      boot(i);
+    }
+    if (!acts(n)) return;
+    Controller& c = *n.core;
+    bool state_up = !state.outage();
+    if (!n.listed) {
+      if (!state_up) return;
+      c.list(now);
+      n.listed = true;
+      if (way != Way::before) end_past(n, c);
+    }
+    if (state_up && now >= n.next_sync) {
+      n.next_sync = now + (c.scheduler.owns_any() ? 0.1 : 0.6);
+      c.sync(now);
+    }
+    if (state_up && now >= n.next_renew) {
+      n.next_renew = now + 1;
+      if (c.hold.id() == 0) {
+        c.hold.opened(state.open_hold(c.model.settings.op.hold_life_s, now), now);
+        put(c, NodeKey{c.name});
+      } else if (state.renew(c.hold.id(), now)) {
+        c.hold.renewed(now);
+      } else {
+        c.hold.lost();
+      }
+    }
+    if (state_up) claim(n, c);
+    while (!n.answers.empty() && n.answers.front().at <= now) {
+      auto a = std::move(n.answers.front());
+      n.answers.pop_front();
+      Stamp rev = a.result ? a.result->body.value("ledger_rev", std::uint64_t{0}) : 0;
+      c.answered(a.write, outcome_of(a.result), rev, now);
+    }
+    Effects out = c.decide(now);
+    for (Write& w : out.writes) n.queues[static_cast<std::size_t>(w.urgency)].push_back(std::move(w));
+    pump(n, c);
+    for (const DirectOrders& d : out.direct) deliver(c, d);
+    for (RentOrder& r : out.rents) calls.push_back({i, now, std::move(r), {}, false});
+    if (!out.deletes.empty()) calls.push_back({i, now, {}, out.deletes, false});
+    if (out.list_machines) calls.push_back({i, now, {}, {}, true});
+    if (c.start && now >= n.next_news) {
+      n.next_news = now + 1;
+      for (std::size_t k = 0; k < nodes.size(); ++k) {
+        if (k != i && acts(nodes[k]) && nodes[k].core->start) tell(c, *nodes[k].core);
+      }
+    }
+  }
+
+  void tell(const Controller& from, Controller& to) {
+    for (const auto& w : from.start->part_words()) to.start->heard_of(w, now);
+    for (MachineIndex m : from.start->suspects(200))
+      to.start->heard_of_suspect(to.model.find_recorded(from.model.names.machines.name(m)), now);
+  }
+
+  void put(Controller& c, const Key& key) {
+    Change change{key, ClaimRecord{c.name, c.hold.id()}, c.hold.id()};
+    std::string k = state::encode_key(key, c.model);
+    Json guards = Json::array();
+    if (!std::holds_alternative<NodeKey>(key)) guards.push_back({{"k", k}, {"stamp", 0}});
+    state.txn(
+        {{"guards", guards},
+         {"apply", {{{"put", k}, {"value", state::encode_value(change, c.model)}, {"grant", c.hold.id()}}}}});
+    c.sync(now);
+  }
+
+  void end_past(Node& n, Controller& c) {
+    std::set<std::uint64_t> holds;
+    for (std::uint32_t p = 0; p < c.model.parts(); ++p) {
+      const Claim& claim = c.model.claim(PartIndex{p});
+      if (claim.stamp == 0 || claim.rec.node != c.name) continue;
+      holds.insert(claim.rec.hold);
+      n.past_parts.insert(p);
+    }
+    auto live = c.model.nodes().find(c.name);
+    if (live != c.model.nodes().end()) holds.insert(live->second.rec.hold);
+    for (std::uint64_t id : holds) state.end_hold(id);
+    c.sync(now);
+  }
+
+  void claim(Node& n, Controller& c) {
+    if (c.hold.id() == 0) return;
+    std::vector<std::string> live;
+    for (const auto& [name, rec] : c.model.nodes()) live.push_back(name);
+    if (std::find(live.begin(), live.end(), c.name) == live.end()) return;
+    std::vector<std::string> all;
+    for (std::size_t k = 0; k < nodes.size(); ++k) all.push_back(node_name(k));
+    for (std::uint32_t p = 0; p < c.model.parts(); ++p) {
+      if (c.model.claim(PartIndex{p}).stamp != 0) {
+        n.claim_at.erase(p);
+        continue;
+      }
+      bool young = now - n.up_since < 5;
+      std::size_t turn =
+          n.past_parts.count(p) != 0 ? 0 : claim_turn(c.model, PartIndex{p}, c.name, young ? all : live);
+      auto [it, fresh] = n.claim_at.emplace(p, now + 0.6 * static_cast<double>(turn));
+      if (now < it->second) continue;
+      it->second = now + 3;
+      n.past_parts.erase(p);
+      put(c, ClaimKey{PartIndex{p}});
+    }
+  }
+
+  void pump(Node& n, Controller& c) {
+    for (auto& q : n.queues) {
+      while (!q.empty()) {
+        auto changes = static_cast<double>(q.front().txn.changes.size());
+        if (!n.changes.take(changes, now)) return;
+        Write w = std::move(q.front());
+        q.pop_front();
+        std::optional<State::Result> r;
+        if (!state.outage() && !writes.take(changes, now)) {
+          r = State::Result{429, Json::object()};
+        } else {
+          r = c.send(w);
+          if (r && r->status == 200) {
+            second().changes += static_cast<std::uint32_t>(changes);
+            if (w.urgency == Urgency::placement) ++second().starts;
+          }
+        }
+        n.answers.push_back({now + step_s, std::move(w), std::move(r)});
+      }
+    }
+  }
+
+  // --- The cloud.
+
+  void add_host(std::uint32_t zone, bool spot, bool at_start) {
+    std::string name = "host-" + std::to_string(100000 + hosts.size());
+    Host& h = hosts[name];
+    if (at_start) zone = static_cast<std::uint32_t>(hosts.size()) % s.zones;
+    h.zone = zone;
+    h.spot = spot;
+    h.born = now;
+    h.up_at = at_start ? now : now + s.boot_s * uniform(0.6, 1.5);
+    h.worker = std::make_unique<Worker>(name, zone_names[zone], log, spot);
+    h.worker->lease_s = s.lease_s;
+    h.worker->first_phase = TaskPhase::fetching;
+    h.next_report = h.up_at + uniform(0, s.report_s);
+    h.node = pick(s.controllers);
+    ++rented;
+    if (spot) ++rented_spot;
+    h.known = true;
+    if (!at_start) return;
+    Json value = {{"part", state::pool_name},
+                  {"type", "std"},
+                  {"zone", zone_names[zone]},
+                  {"spot", spot},
+                  {"del", false},
+                  {"up", true}};
+    state.txn({{"guards", Json::array()}, {"apply", {{{"put", "o/m/" + name}, {"value", value}}}}});
+  }
+
+  struct Call {
+    std::size_t node;
+    double at;
+    RentOrder rent;
+    std::vector<MachineIndex> deletes;
+    bool list;
+  };
+
+  void serve_calls() {
+    while (!calls.empty() && now - calls.front().at >= 2 * step_s && cloud.take(1, now)) {
+      Call call = std::move(calls.front());
+      calls.pop_front();
+      Node& n = nodes[call.node];
+      if (!n.core) continue;
+      Fleet& fleet = n.core->fleet;
+      bool up = now >= cloud_down_until;
+      if (call.list) {
+        up ? fleet.on_listed(listed(), now) : fleet.on_list_failed();
+      } else if (!call.deletes.empty()) {
+        for (MachineIndex m : call.deletes) {
+          if (up) remove(n.core->model.names.machines.name(m));
+        }
+        fleet.on_deleted(call.deletes, up);
+      } else if (!up) {
+        fleet.on_rented(call.rent.request, false, {}, now);
+      } else {
+        rent(call.rent, fleet);
+      }
+    }
+  }
+
+  void rent(const RentOrder& r, Fleet& fleet) {
+    auto of_zone = static_cast<std::uint32_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& h) {
+      return h.second.known && h.second.zone == r.zone.v;
+    }));
+    std::uint32_t room = s.capacity / s.zones > of_zone ? s.capacity / s.zones - of_zone : 0;
+    if (r.spot) room = std::min(room, s.spot > rented_spot ? s.spot - rented_spot : 0);
+    std::vector<std::string> got;
+    while (got.size() < std::min(r.count, room)) {
+      std::size_t before = hosts.size();
+      add_host(r.zone.v, r.spot, false);
+      got.push_back("host-" + std::to_string(100000 + before));
+      ++second().rentals;
+      // A return undone.
+      if (!returned_at.empty() && now > warm_s) {
+        if (now - returned_at.back() < undone_s) ++result.undone;
+        returned_at.pop_back();
+      }
+    }
+    fleet.on_rented(r.request, true, got, now);
+  }
+
+  void remove(const std::string& name) {
+    auto it = hosts.find(name);
+    if (it == hosts.end() || !it->second.known) return;
+    Host& h = it->second;
+    if (h.alive && now > warm_s) {
+      ++second().returns;
+      bool working = std::any_of(h.worker->tasks().begin(), h.worker->tasks().end(),
+                                 [](const auto& t) { return t.second.phase != TaskPhase::ended; });
+      if (working) ++result.condemned_alive;
+      if (!h.used)
+        ++result.undone;  // rented for nothing
+      else if (!working)
+        returned_at.push_back(now);
+    }
+    lose_all(name, h);
+    h.worker->power_off();
+    h.alive = h.known = false;
+    h.died = now;
+    --rented;
+    if (h.spot) --rented_spot;
+  }
+
+  std::vector<ListedMachine> listed() {
+    std::vector<ListedMachine> out;
+    for (auto& [name, h] : hosts) {
+      if (!h.known || now - h.born < list_lag_s) continue;
+      ListedMachine l;
+      l.name = name;
+      l.address = "127.0.0.1:1";
+      l.type = "std";
+      l.zone = zone_names[h.zone];
+      l.spot = h.spot;
+      bool shown_dead = !h.alive && now - h.died > listed_dead_s + list_lag_s;
+      l.phase = shown_dead      ? ListedMachine::Phase::failed
+                : now < h.up_at ? ListedMachine::Phase::starting
+                                : ListedMachine::Phase::running;
+      out.push_back(std::move(l));
+    }
+    return out;
+  }
+
+  // --- Users.
+
+  void submit(std::uint32_t cls) {
+    JobSpec spec = test_job("run-" + std::to_string(++submitted), 1);
+    JobInfo info;
+    info.cls = cls;
+    info.team = pick(2);
+    info.image = pick(std::size(image_gb));
+    info.run_s = (cls == 0 ? s.gang_s : s.array_s) * std::exp(uniform(-0.7, 0.7));
+    spec.part = PartIndex{1 + info.team};
+    spec.shape = cls == 0 ? Shape::gang : Shape::array;
+    spec.rank = cls == 0 ? Rank::high : Rank::low;
+    spec.tasks = cls == 0 ? 1U << pick(3) : 5 + pick(30);
+    spec.need = cls == 0 ? Amounts{28, 4, 110} : Amounts{6, 1, 24};
+    spec.one_zone = cls == 0;
+    spec.spot = true;
+    spec.save_every_s = save_every_s;
+    spec.flush_s = flush_s;
+    spec.estimate_s = info.run_s * std::exp(uniform(-0.4, 0.4));
+    spec.image_gb = image_gb[info.image];
+    spec.submitted_at = now + wall_ahead;
+    info.tasks = spec.tasks;
+    info.gpus = spec.need.gpus;
+    Names n = names();
+    spec.image = n.images.find("img-" + std::to_string(info.image));
+    Json value = state::job_value(spec, JobPhase::open, n);
+    if (state
+            .txn({{"guards", Json::array()},
+                  {"apply", {{{"put", state::job_key(spec.ref)}, {"value", value}}}}})
+            .status != 200) {
+      --submitted;
+      waiting_submissions.push_back(cls);
+      return;
+    }
+    jobs[spec.ref] = info;
+  }
+
+  void withdraw(const std::string& ref) {
+    auto it = state.keys().find(state::job_key(ref));
+    if (it == state.keys().end()) return;
+    Json value = state::with_phase(it->second.value, JobPhase::cancelled);
+    auto r = state.txn({{"guards", {{{"k", it->first}, {"stamp", it->second.stamp}}}},
+                        {"apply", {{{"put", it->first}, {"value", value}}}}});
+    if (r.status == 200) jobs[ref].cancelled_at = now;
+  }
+
+  // --- Workers.
+
+  static std::pair<std::string, TaskNo> split(const std::string& id) {
+    std::size_t slash = id.rfind('/');
+    return {id.substr(0, slash), static_cast<TaskNo>(std::stoul(id.substr(slash + 1)))};
+  }
+
+  bool reachable(const Host& h) const {
+    return h.alive && now >= h.up_at && now >= h.hung_until &&
+           !(cut_zone == zone_names[h.zone] && now < cut_until);
+  }
+
+  void deliver(const Controller& c, const DirectOrders& d) {
+    auto h = hosts.find(c.model.names.machines.name(d.machine));
+    if (h == hosts.end() || !reachable(h->second)) return;
+    for (const Order& o : d.orders) second().kills += o.verb == OrderVerb::kill ? 1 : 0;
+    h->second.worker->command(d);
+    after_orders(h->first, h->second);
+    h->second.next_report = std::min(h->second.next_report, now + 0.5);
+  }
+
+  void report(const std::string& name, Host& h) {
+    Node& n = nodes[h.node];
+    if (!acts(n) || !n.listed) {
+      bool hangs = n.core && now < n.frozen_until;
+      h.node = (h.node + 1) % nodes.size();
+      h.next_report = now + (hangs ? 5 : 1);
+      return;
+    }
+    WorkerReport r = h.worker->report(now);
+    if (hold_late > 0) {
+      --hold_late;
+      late.push_back(r);
+    }
+    ReportAnswer a = n.core->hear(r, now);
+    h.worker->answer(a, now);
+    for (const Order& o : a.orders) second().kills += o.verb == OrderVerb::kill ? 1 : 0;
+    after_orders(name, h);
+    if (a.kind == ReportAnswer::Kind::ok) {
+      h.next_report = now + s.report_s * uniform(0.75, 1.25);
+    } else if (a.kind == ReportAnswer::Kind::redirect) {
+      for (std::size_t k = 0; k < nodes.size(); ++k) {
+        if (node_name(k) == a.owner) h.node = k;
+      }
+      h.next_report = now + uniform(0, 0.5);
+    } else {
+      h.node = (h.node + 1) % nodes.size();
+      h.next_report = now + 1;
+    }
+  }
+
+  /// Tasks that have just started or stopped on this worker.
+  void after_orders(const std::string& name, Host& h) {
+    for (const auto& [id, t] : h.worker->tasks()) {
+      JobInfo& j = jobs[t.job];
+      auto run = j.runs.find(t.task);
+      bool mine = run != j.runs.end() && run->second.host == name;
+      if (t.phase == TaskPhase::ended) {
+        if (mine) stopped(j, t.task, t.saved);
+        continue;
+      }
+      if (mine) continue;
+      h.used = true;
+      double& fetched =
+          h.images.try_emplace(j.image, now + image_gb[j.image] / s.fetch_gb_per_s * uniform(0.8, 1.2))
+              .first->second;
+      j.runs[t.task] = {name, id, &h, std::max(now, fetched), -1};
+    }
+  }
+
+  double progress(const JobInfo& j, const Run& r) const {
+    if (j.cls == 0) return j.gang_started < 0 ? 0 : now - j.gang_started;
+    return r.started < 0 ? 0 : now - r.started;
+  }
+
+  /// The task is off its machine; what it had not saved is lost.
+  void stopped(JobInfo& j, TaskNo task, bool saved) {
+    Run run = j.runs[task];
+    j.runs.erase(task);
+    double ran = progress(j, run);
+    if (ran <= 0) return;
+    double before = j.cls == 0 ? j.gang_saved : j.saved[task];
+    double kept = saved ? ran : std::floor((before + ran) / save_every_s) * save_every_s - before;
+    kept = std::max(0.0, kept);
+    result.lost_s += std::max(0.0, ran - kept) * j.gpus;
+    if (j.cls != 0) {
+      j.saved[task] = before + kept;
+      return;
+    }
+    if (j.gang_lost_at >= 0) return;
+    j.gang_saved = before + kept;
+    result.lost_s += std::max(0.0, ran - kept) * j.gpus * static_cast<double>(j.runs.size());
+    j.gang_started = -1;
+    j.gang_lost_at = now;
+  }
+
+  void lose_all(const std::string& name, Host& h) {
+    for (const auto& [id, t] : h.worker->tasks()) {
+      JobInfo& j = jobs[t.job];
+      auto run = j.runs.find(t.task);
+      if (run != j.runs.end() && run->second.host == name) stopped(j, t.task, false);
+    }
+  }
+
+  void tick_workers() {
+    for (auto& [name, h] : hosts) {
+      if (!h.alive || now < h.up_at) continue;
+      if (now < h.hung_until) continue;
+      std::uint64_t tenure = h.worker->tenure();
+      h.worker->tick(now);
+      if (h.worker->tenure() != tenure) {
+        // Its lease was over: everything on it is gone.
+        for (auto& [ref, j] : jobs) {
+          for (auto it = j.runs.begin(); it != j.runs.end();) {
+            TaskNo t = it->first;
+            bool here = it->second.host == name;
+            ++it;
+            if (here) stopped(j, t, false);
+          }
+        }
+      }
+      if (now >= h.next_report && reachable(h)) report(name, h);
+    }
+  }
+
+  void tick_tasks() {
+    for (auto& [ref, j] : jobs) {
+      if (j.runs.empty()) {
+        j.gang_lost_at = -1;
+        continue;
+      }
+      std::vector<TaskNo> ended;
+      bool all_ready = j.runs.size() == j.tasks;
+      for (auto& [t, r] : j.runs) {
+        Host& h = *r.at;
+        if (now < h.hung_until) {
+          r.started = r.started < 0 ? -1 : r.started + step_s;
+          all_ready = false;
+          continue;
+        }
+        const std::string& id = r.id;
+        if (now < r.ready_at || !h.worker->has(id)) {
+          all_ready = false;
+          continue;
+        }
+        if (j.cls == 1) {
+          if (r.started < 0) {
+            r.started = now;
+            h.worker->set_phase(id, TaskPhase::running);
+          }
+          if (now - r.started >= std::max(1.0, j.run_s - j.saved[t])) ended.push_back(t);
+          count_gpus(j, 1);
+        } else if (j.gang_started < 0 && h.worker->phase(id) == TaskPhase::fetching) {
+          h.worker->set_phase(id, TaskPhase::gathering);
+        }
+      }
+      if (j.cls == 0) tick_gang(j, all_ready, ended);
+      for (TaskNo t : ended) finish(j, t, EndCause::done);
+    }
+  }
+
+  void tick_gang(JobInfo& j, bool all_ready, std::vector<TaskNo>& ended) {
+    if (j.gang_lost_at >= 0) {
+      if (now - j.gang_lost_at < 5) return;
+      std::vector<TaskNo> rest;
+      for (auto& [t, r] : j.runs) {
+        if (r.at->alive && now >= r.at->hung_until && r.at->worker->has(r.id)) rest.push_back(t);
+      }
+      for (TaskNo t : rest) finish(j, t, EndCause::peers);
+      return;
+    }
+    if (j.gang_started < 0) {
+      if (!all_ready) return;
+      j.gang_started = now;
+      for (auto& [t, r] : j.runs) r.at->worker->set_phase(r.id, TaskPhase::running);
+    }
+    count_gpus(j, j.runs.size());
+    bool hangs = std::any_of(j.runs.begin(), j.runs.end(),
+                             [&](const auto& r) { return now < r.second.at->hung_until; });
+    if (hangs) {
+      result.lost_s += std::fmod(j.gang_saved + now - j.gang_started, save_every_s) * j.gpus * j.tasks;
+      j.gang_saved = std::floor((j.gang_saved + now - j.gang_started) / save_every_s) * save_every_s;
+      j.gang_started = -1;
+      j.gang_lost_at = now;
+    } else if (now - j.gang_started >= std::max(1.0, j.run_s - j.gang_saved)) {
+      for (auto& [t, r] : j.runs) ended.push_back(t);
+    }
+  }
+
+  void finish(JobInfo& j, TaskNo t, EndCause cause) {
+    Host& h = *j.runs.at(t).at;
+    h.worker->finish(j.runs.at(t).id, cause);
+    h.next_report = std::min(h.next_report, now + 0.3);
+    if (cause == EndCause::done && j.done.insert(t).second) {
+      ++result.done[j.cls];
+      ++result.of_team[j.team];
+    }
+    j.runs.erase(t);
+    if (j.runs.empty()) {
+      j.gang_started = -1;
+      j.gang_lost_at = -1;
+    }
+  }
+
+  void count_gpus(const JobInfo& j, std::size_t tasks) {
+    second().gpus += j.gpus * static_cast<double>(tasks) * step_s;
+  }
+
+  // --- Faults and rules.
+
+  std::size_t busiest() const {
+    std::size_t best = 0, most = 0;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (!nodes[i].core) continue;
+      std::size_t n = 0;
+      for (std::uint32_t p = 0; p < nodes[i].core->model.parts(); ++p) {
+        if (nodes[i].core->scheduler.owns(PartIndex{p}))
+          n += 1 + nodes[i].core->model.machines_of(PartIndex{p}).size();
+      }
+      if (n > most) best = i, most = n;
+    }
+    return best;
+  }
+
+  /// Machines that are up, in an order of this seed's.
+  std::vector<std::string> some_hosts(std::uint32_t count) {
+    std::vector<std::string> up;
+    for (auto& [name, h] : hosts) {
+      if (h.alive && now >= h.up_at) up.push_back(name);
+    }
+    std::shuffle(up.begin(), up.end(), random);
+    up.resize(std::min<std::size_t>(up.size(), count));
+    return up;
+  }
+
+  void die(const std::string& name) {
+    Host& h = hosts.at(name);
+    lose_all(name, h);
+    h.worker->power_off();
+    h.alive = false;
+    h.died = now;
+  }
+
+  void apply(const Fault& f) {
+    auto count = f.count != 0 ? f.count : static_cast<std::uint32_t>(f.share * rented);
+    switch (f.kind) {
+      case FaultKind::all_down:
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+          down(i, now + f.for_s + f.stagger_s * static_cast<double>(i));
+        break;
+      case FaultKind::owner_down:
+        down(busiest(), now + f.for_s);
+        break;
+      case FaultKind::state_outage:
+        state.set_outage(true, now);
+        outage_until = now + f.for_s;
+        break;
+      case FaultKind::state_slow:
+        writes.set_rate(f.share * s.write_rps, f.share * s.write_rps);
+        slow_until = now + f.for_s;
+        break;
+      case FaultKind::cloud_outage:
+        cloud_down_until = now + f.for_s;
+        break;
+      case FaultKind::machines_die:
+        for (const std::string& m : some_hosts(count)) die(m);
+        break;
+      case FaultKind::machines_hang:
+        for (const std::string& m : some_hosts(count)) hosts.at(m).hung_until = now + f.for_s;
+        break;
+      case FaultKind::zone_cut:
+        cut_zone = f.zone;
+        cut_until = now + f.for_s;
+        break;
+      case FaultKind::freeze:
+        nodes[busiest()].frozen_until = now + f.for_s;
+        break;
+      case FaultKind::finish_all:
+        for (auto& [ref, j] : jobs) {
+          if (j.cls == 0 && j.gang_started < 0) continue;
+          std::vector<TaskNo> all;
+          for (auto& [t, r] : j.runs) {
+            if (r.at->worker->has(r.id)) all.push_back(t);
+          }
+          for (TaskNo t : all) finish(j, t, EndCause::done);
+        }
+        break;
+      case FaultKind::cancel:
+        for (auto& [ref, j] : jobs) {
+          if (!j.runs.empty() && uniform(0, 1) < f.share) withdraw(ref);
+        }
+        break;
+      case FaultKind::gang_member: {
+        std::uint32_t left = f.count;
+        for (auto& [ref, j] : jobs) {
+          if (left == 0 || j.cls != 0 || j.gang_started < 0 || j.runs.size() < 2) continue;
+          std::string victim = j.runs.begin()->second.host;
+          if (!hosts.at(victim).alive) continue;
+          die(victim);
+          --left;
+        }
+        break;
+      }
+      case FaultKind::late_reports:
+        hold_late = count;
+        late_at = now + f.for_s;
+        break;
+    }
+  }
+
+  void tick_faults() {
+    while (!faults.empty() && faults.front().at_s <= now) {
+      apply(faults.front());
+      faults.erase(faults.begin());
+    }
+    if (state.outage() && now >= outage_until) state.set_outage(false, now);
+    if (slow_until > 0 && now >= slow_until) {
+      slow_until = 0;
+      writes.set_rate(s.write_rps, s.write_rps);
+    }
+    if (late_at > 0 && now >= late_at) {
+      for (const WorkerReport& r : late) {
+        for (Node& n : nodes) {
+          // The worker has given these up long ago: whatever is answered does not reach it.
+          if (acts(n) && n.listed) n.core->hear(r, now);
+        }
+      }
+      late.clear();
+      late_at = 0;
+    }
+  }
+
+  void check_rules() {
+    std::array<double, 2> gpus{};
+    for (auto& [ref, j] : jobs) {
+      gpus[j.team] += j.gpus * static_cast<double>(j.runs.size());
+      if (j.cancelled_at >= 0 && now - j.cancelled_at > s.cancel_s && !j.runs.empty()) {
+        result.broken.push_back("ran_cancelled " + ref);
+        j.cancelled_at = 1e9;
+      }
+      bool known =
+          state.keys().count(state::job_key(ref)) != 0 || state.keys().count(state::final_key(ref)) != 0;
+      if (!known) result.broken.push_back("forgotten " + ref);
+    }
+    for (double g : gpus) {
+      if (g > s.most_gpus + 1e-6) result.broken.push_back("quota");
+    }
+    for (; seen_twice < log.twice.size(); ++seen_twice)
+      result.broken.push_back("ran_twice " + log.twice[seen_twice] + " at " + std::to_string(now));
+  }
+
+  Second& second() { return result.seconds.back(); }
+
+  FleetResult play() {
+    auto steps = static_cast<std::size_t>(s.length_s / step_s);
+    for (std::size_t i = 0; i < steps; ++i) {
+      if (i % 10 == 0) {
+        result.seconds.push_back({});
+        check_rules();
+      }
+      now = static_cast<double>(i + 1) * step_s;
+      tick_faults();
+      state.expire(now);
+      if (!state.outage()) {
+        auto again = std::move(waiting_submissions);
+        waiting_submissions.clear();
+        for (std::uint32_t cls : again) submit(cls);
+      }
+      for (std::uint32_t cls : {0U, 1U}) {
+        if (uniform(0, 1) < (cls == 0 ? s.gangs_a_s : s.arrays_a_s) * step_s) submit(cls);
+      }
+      for (std::size_t k = 0; k < nodes.size(); ++k) tend(k);
+      serve_calls();
+      tick_workers();
+      tick_tasks();
+      if (result.squared_s < 0 && now > first_fault + 1) note_squared();
+    }
+    for (const auto& [ref, j] : jobs) result.of_class[j.cls] += j.tasks;
+    for (Node& n : nodes) collect(n);
+    return result;
+  }
+
+  void note_squared() {
+    std::size_t squared = 0;
+    double at = 0;
+    for (const Node& n : nodes) {
+      if (!n.core || !n.core->start) continue;
+      for (std::uint32_t p = 0; p < n.core->model.parts(); ++p) {
+        if (!n.core->scheduler.owns(PartIndex{p}) || n.core->start->squared_at(PartIndex{p}) < first_fault)
+          continue;
+        ++squared;
+        at = std::max(at, n.core->start->squared_at(PartIndex{p}));
+      }
+    }
+    if (squared == 3) result.squared_s = at - first_fault;
+  }
+
+  FleetScenario s;
+  Way way;
+  std::mt19937_64 random;
+  double now = 0;
+  static constexpr double wall_ahead = 1e-6;  // known, and as good as none
+  std::vector<std::string> zone_names;
+  State state;
+  RunLog log;
+  TokenBucket writes, cloud;
+  std::vector<Node> nodes;
+  std::map<std::string, Host> hosts;
+  std::map<std::string, JobInfo> jobs;
+  std::deque<Call> calls;
+  std::vector<double> returned_at;
+  std::vector<std::uint32_t> waiting_submissions;
+  std::vector<Fault> faults;
+  std::vector<WorkerReport> late;
+  std::uint32_t hold_late = 0, rented = 0, rented_spot = 0;
+  std::uint64_t submitted = 0;
+  std::size_t seen_twice = 0;
+  double late_at = 0, outage_until = 0, slow_until = 0, cloud_down_until = -1, cut_until = -1,
+         first_fault = 1e9;
+  std::string cut_zone;
+  FleetResult result;
+};
+
+FleetWorld::FleetWorld(const FleetScenario& s, Way way, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(s, way, seed)) {}
+FleetWorld::~FleetWorld() = default;
+FleetResult FleetWorld::run() {
+  return impl_->play();
+}
+
+}  // namespace oxbowmill::lab
