No suspicion while an earlier owner may still answer; hard cases of a start as tests

Change: silence counts from the moment at which nobody else can answer; a replica's loss is weighed by what a new one needs; a gang's lost peers are remembered for its attempt; first words are held against those that were expected.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -69,6 +69,7 @@
   Seconds place_after = 0;    // back-off after errors
   Seconds planned_at = -1e9;  // last placement of a part of it
   std::uint32_t errors = 0;
+  Attempt broken = 0;  // attempt of the gang of which a member has said that it lost its peers
   Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
   Seconds first_seen = 0;
   std::vector<double> finished_times;  // the detector's: in order of finishing
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -95,6 +95,8 @@
   void notice_takeovers(Seconds now);
   /// What is held back while it is not known who is still there. None: nothing is.
   void set_gate(const Gate* gate) { gate_ = gate; }
+  /// From when on no earlier owner can answer this machine's worker: it speaks to us or to nobody.
+  Seconds ours_alone_since(const Machine& m) const;
   /// Silence of this machine of ours that is over then proves it empty.
   Seconds proved_empty_at(const Machine& m) const;
   /// A machine without a record showed itself; the leader takes it in.
--- a/include/oxbowmill/lab/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -39,6 +39,8 @@
   void pass(double now);
   /// The first half of a pass: what is to be done, with nothing sent yet.
   Effects decide(double now);
+  /// Writes a transaction down as its tables stand now; sent later, it is the same.
+  void keep(const Write& w) { outbox_.keep(w, model); }
   /// Sends one transaction; null where it does not arrive.
   std::optional<State::Result> send(const Write& w);
   /// What the sender hears of it.
@@ -92,6 +94,8 @@
   /// Passes and exchanges of node `n` with all workers that are not silenced, for this long.
   void run(double seconds, std::size_t n = 0);
   void kill_node(std::size_t n);
+  /// Node `n` has registered under a new hold, as one that has just started does; the hold, which lasts.
+  std::uint64_t register_node(std::size_t n);
   std::string phase(const std::string& ref) const;
   /// Machines on which the task is placed durably.
   std::vector<std::string> placed(const std::string& ref, TaskNo task) const;
--- a/include/oxbowmill/lab/fleet_world.h
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -24,6 +24,7 @@
 enum class FaultKind : std::uint8_t {
   all_down,    // every controller ends; back after `for_s`, each `stagger_s` after the one before
   owner_down,  // the owner of the most machines ends
+  owner_cut,   // the owner of the most machines alone lacks the state service
   state_outage,
   state_slow,  // the state service takes `share` of its changes a second
   cloud_outage,
--- a/include/oxbowmill/recovery/start.h
+++ b/include/oxbowmill/recovery/start.h
@@ -74,9 +74,10 @@
 
  private:
   struct Zone {
-    std::uint32_t due = 0, heard = 0;
-    std::vector<double> first_words;  // seconds from the part's takeover, in order
-    Seconds clear_since = 0;          // silence counts from here on
+    std::uint32_t due = 0, heard = 0;  // now
+    std::uint32_t expected = 0;        // whose first words the start waits for
+    std::vector<double> first_words;   // seconds from the part's takeover, in order
+    Seconds clear_since = 0;           // silence counts from here on
   };
   struct Part {
     PartState state = PartState::absent;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -270,6 +270,7 @@
     model_.set_state(p, PlacementState::finished, now);
     return;
   }
+  if (t.cause == EndCause::peers) j.broken = p.attempt;
   if (t.cause == EndCause::error || t.cause == EndCause::no_such) {
     ++j.errors;
     if (t.cause == EndCause::error) ++m.errors;
@@ -354,17 +355,21 @@
   }
 }
 
-Seconds Scheduler::proved_empty_at(const Machine& m) const {
-  const Settings& s = model_.settings;
-  if (m.state != MachineState::unaccounted && !(m.state == MachineState::deleting && m.taken_over))
-    return std::max(m.last_answered, m.part_since) + s.lease_over_s();
-  Seconds at = m.part_since + s.takeover_silence_s();
+Seconds Scheduler::ours_alone_since(const Machine& m) const {
+  Seconds after_grace = m.part_since + model_.settings.grace_s() * (1 + 2 * Settings::drift);
+  // One that was moved may be answered by the owner it came from, who lives under the hold it had.
+  if (!m.taken_over) return after_grace;
   // The earlier owner's grace need not be waited for once every controller has begun anew: what was answered
   // to this worker on behalf of the part was answered under a hold that has ended since, and its holder
-  // answers nothing under it any more (docs/design.md, "Time").
+  // answers nothing under it any more (docs/start.md, "Safety").
   Seconds anew = model_.all_anew_since();
-  if (m.taken_over && anew >= 0) at = std::min(at, std::max(m.part_since, anew) + s.lease_over_s());
-  return std::max(at, m.last_answered + s.lease_over_s());
+  return anew < 0 ? after_grace : std::min(after_grace, std::max(m.part_since, anew));
+}
+
+Seconds Scheduler::proved_empty_at(const Machine& m) const {
+  bool unproved = m.state == MachineState::unaccounted || (m.state == MachineState::deleting && m.taken_over);
+  Seconds from = unproved ? ours_alone_since(m) : m.part_since;
+  return std::max(m.last_answered, from) + model_.settings.lease_over_s();
 }
 
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
--- a/src/lab/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -261,6 +261,18 @@
   state.end_hold(nodes_[n]->hold.id());
 }
 
+std::uint64_t Cluster::register_node(std::size_t n) {
+  std::uint64_t hold = state.open_hold(1e6, now);
+  Change change{NodeKey{nodes_[n]->name}, ClaimRecord{nodes_[n]->name, hold}, hold};
+  Model& model = nodes_[n]->model;
+  state.txn({{"guards", Json::array()},
+             {"apply",
+              {{{"put", state::encode_key(change.key, model)},
+                {"value", state::encode_value(change, model)},
+                {"grant", hold}}}}});
+  return hold;
+}
+
 std::string Cluster::phase(const std::string& ref) const {
   for (const std::string& key : {state::job_key(ref), state::final_key(ref)}) {
     auto it = state.keys().find(key);
--- a/src/recovery/start.cpp
+++ b/src/recovery/start.cpp
@@ -105,7 +105,7 @@
     set_state(m, WordState::none, now);
     set_state(m, silent ? WordState::booting : WordState::awaited, now);
     part.counts.expected += silent ? 0 : 1;
-    if (!silent) ++part.zones[machine.rec.zone.v].due;
+    if (!silent) ++part.zones[machine.rec.zone.v].expected;
   }
   set_state(p, PartState::listening, now);
 }
@@ -191,11 +191,13 @@
       set_state(mi, spoken ? WordState::squared : WordState::awaited, now);
     Zone& z = part.zones[m.rec.zone.v];
     bool speaks = z.due >= least_speakers && z.heard >= settings_.heard_share * z.due;
-    Seconds from = std::max({m.last_answered, m.part_since, z.clear_since, clear_since_});
+    // An earlier owner that lacks only the state service keeps its workers through its grace: they are well,
+    // and with it. (Without this a cut of one owner had 268 machines deleted that ran on.)
+    Seconds from = std::max({m.last_answered, m.taken_over ? scheduler_.ours_alone_since(m) : m.part_since,
+                             z.clear_since, clear_since_});
     Seconds after = patience;
-    if (m.taken_over && m.last_answered < 0) {
-      auto expected = static_cast<std::uint32_t>(z.due);
-      double t = threshold(z.first_words, expected, first_word_s, patience, settings_);
+    if (m.taken_over && m.last_answered < 0 && model_.all_anew_since() >= 0) {
+      double t = threshold(z.first_words, z.expected, first_word_s, patience, settings_);
       after = t < 0 ? 1e9 : t;
     }
     if (w.state != WordState::suspected && w.state != WordState::condemned) {
--- a/src/recovery/words.cpp
+++ b/src/recovery/words.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "oxbowmill/core/placement.h"
+
 namespace oxbowmill::recovery {
 
 namespace {
@@ -51,12 +53,16 @@
     if (j->spec.shape == Shape::gang) {
       // The whole gang waits for its last member. Another member's word that it has lost its peers is the
       // second witness, and then there is no progress left that the machine could hold.
-      size *= static_cast<double>(j->placed.size());
-      broken = std::any_of(j->placed.begin(), j->placed.end(),
-                           [](const auto& o) { return o.second.cause == EndCause::peers; });
+      size *= j->spec.tasks;
+      broken = j->broken == p->attempt;
     }
     waiting += size;
     if (broken) continue;
+    if (j->spec.shape == Shape::service) {
+      // No progress to lose, but a replica that is up, until another has its image.
+      at_risk += size * (model.settings.report_s + fetch_time(j->spec, model.catalog.at(m.rec.type.v)));
+      continue;
+    }
     double ran = now - p->started_at;
     // Half an interval on average since the last checkpoint.
     double unsaved =
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -222,6 +222,28 @@
   }
 }
 
+TEST(Peers, VersionsUnderstandEachOther) {
+  // Recorded from the version before starts and suspects were told: {node, revision, state_ok, dark}.
+  const std::string earlier(
+      "\x84\xa4node\xa2n1\xa8revision\x2a\xa8state_ok\xc3\xa4"
+      "dark\x91\xa1"
+      "a",
+      37);
+  auto n = service::decode_news(earlier);
+  ASSERT_TRUE(n);
+  EXPECT_EQ(n->revision, 42U);
+  EXPECT_TRUE(n->starts.empty());
+  EXPECT_TRUE(n->suspects.empty());
+  // A later one may shape its hints otherwise: they are left out, the rest counts.
+  std::string later = earlier;
+  later[0] = '\x86';
+  later += std::string("\xa6starts\xa1x\xa8suspects\x07", 19);
+  n = service::decode_news(later);
+  ASSERT_TRUE(n);
+  EXPECT_EQ(n->node, "n1");
+  EXPECT_TRUE(n->starts.empty());
+}
+
 TEST(Peers, OnlyANodeThatIsAloneInTroubleStepsAside) {
   struct Case {
     double since;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -94,6 +94,23 @@
   return "";
 }
 
+TEST_F(Config, RecoveryIsSwitchedOnByItsFile) {
+  EXPECT_FALSE(config::load(write("good.toml", good), {}).recovery.enabled);
+  auto c = config::load(write("good.toml", good), {DEPLOY_DIR "/operator.yaml", DEPLOY_DIR "/recovery.yaml"});
+  EXPECT_TRUE(c.recovery.enabled);
+  // The file states the defaults.
+  recovery::Settings d;
+  EXPECT_EQ(c.recovery.heard_share, d.heard_share);
+  EXPECT_EQ(c.recovery.enough_share, d.enough_share);
+  EXPECT_EQ(c.recovery.multiplier, d.multiplier);
+  EXPECT_EQ(c.recovery.demand_window_s, d.demand_window_s);
+  EXPECT_EQ(c.recovery.return_share, d.return_share);
+  EXPECT_EQ(c.recovery.replace_share, d.replace_share);
+  EXPECT_EQ(c.recovery.delete_suspects, d.delete_suspects);
+  auto wrong = error_of(write("good.toml", good), write("wrong.yaml", "recovery: {heard_shares: 0.5}\n"));
+  EXPECT_NE(wrong.find("heard_shares"), std::string::npos) << wrong;
+}
+
 TEST_F(Config, ReadsThePlatformsFile) {
   auto c = config::load(write("good.toml", good), {});
   EXPECT_EQ(c.settings.node, "n0");
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -10,6 +10,7 @@
 
 using lab::Cluster;
 using lab::Fate;
+using lab::Json;
 using lab::test_job;
 using Kind = ReportAnswer::Kind;
 
@@ -214,6 +215,69 @@
   EXPECT_TRUE(c.log.twice.empty());
 }
 
+TEST(Fencing, EarlierOwnersGraceIsNotWaitedForOnceEveryControllerHasBegunAnew) {
+  struct Case {
+    const char* what;
+    bool node_0_back, node_0_gone_again, handed_over;
+    bool early;
+  };
+  for (const Case& k :
+       {Case{"both have begun anew", true, false, false, true},
+        Case{"the earlier owner may still answer", false, false, false, false},
+        Case{"it was there and is gone again", true, true, false, false},
+        Case{"the machine came by a move, from an owner that lives", true, false, true, false}}) {
+    Cluster c;
+    c.add_machine("m1");
+    c.run(2);
+    c.submit(test_job("run-1", 1));
+    c.run(2);
+    ASSERT_TRUE(c.worker("m1").has("run-1/0"));
+    c.add_machine("m2");
+    c.kill_node(0);
+    c.silenced.insert("m1");
+    Model& model = c.node(1).model;
+    model.settings.all_nodes = {"node-0", "node-1"};
+    model.settings.op.idle_keep_s = model.settings.op.give_back_s = 1000;
+    c.node(1).claim_all(c.now);
+    c.register_node(1);
+    std::uint64_t back = k.node_0_back ? c.register_node(0) : 0;
+    c.run(1, 1);
+    if (k.node_0_gone_again) c.state.end_hold(back);
+    if (k.handed_over) model.machine(model.names.machines.find("m1")).taken_over = false;
+    c.run(model.settings.lease_over_s() - 2, 1);
+    EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m1"}) << k.what;
+    c.run(4, 1);
+    EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{k.early ? "m2" : "m1"}) << k.what;
+    c.run(model.settings.grace_s(), 1);
+    EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m2"}) << k.what;
+    EXPECT_TRUE(c.log.twice.empty());
+  }
+}
+
+TEST(Fencing, WorkOnAMachineThatIsBeingDeletedIsProvedGoneBySilenceThroughATakeover) {
+  // The cloud is down: the deletion is marked and never confirmed, and its owner ends.
+  Cluster c;
+  c.add_machine("m1");
+  c.run(2);
+  c.submit(test_job("run-1", 1));
+  c.run(2);
+  ASSERT_TRUE(c.worker("m1").has("run-1/0"));
+  Json value = c.state.keys().at("o/m/m1").value;
+  value["del"] = true;
+  c.state.txn({{"guards", Json::array()}, {"apply", {{{"put", "o/m/m1"}, {"value", value}}}}});
+  c.add_machine("m2");
+  c.silenced.insert("m1");
+  c.kill_node(0);
+  c.node(1).model.settings.op.idle_keep_s = c.node(1).model.settings.op.give_back_s = 1000;
+  c.node(1).claim_all(c.now);
+  double wait = c.node(1).model.settings.takeover_silence_s();
+  c.run(wait - 2, 1);
+  EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m1"});
+  c.run(4, 1);
+  EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m2"});
+  EXPECT_TRUE(c.log.twice.empty());
+}
+
 TEST(Fencing, ReportHeldBackFromAnEarlierTermIsNoNews) {
   Cluster c;
   c.add_machine("m1");
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,8 +1,8 @@
 // Where tasks may go, and gangs: all or none, and what their members say together.
 #include <gtest/gtest.h>
 
-#include "oxbowmill/lab/cluster.h"
 #include "oxbowmill/core/token_bucket.h"
+#include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
 namespace {
