A start ends in time: what nothing can be proved of holds no returns back

Change: squaring ends at the latest when every silence is proof; machines on their way out are not waited for; a suspect is replaced once though others' word of it comes and goes, and replacements of late count against the bound.

--- a/include/oxbowmill/recovery/start.h
+++ b/include/oxbowmill/recovery/start.h
@@ -115,6 +115,9 @@
   };
   std::vector<Told> told_;                         // by part
   std::map<MachineIndex, Seconds> told_suspects_;  // by peers, and when
+  /// Suspects for whose work a machine was asked for, and when. What others tell comes and goes; a suspect is
+  /// replaced once all the same, and those of late count against the bound.
+  std::map<MachineIndex, Seconds> replaced_;
   Seconds passed_at_ = -1e9, clear_since_ = -1e9;
 };
 
--- a/include/oxbowmill/recovery/words.h
+++ b/include/oxbowmill/recovery/words.h
@@ -25,7 +25,6 @@
   WordState state = WordState::none;
   Seconds since = 0;
   Differences differences;  // of its last report
-  bool replaced = false;    // a machine for its work is under way
 };
 
 /// How often a suspicion turned out right; old evidence fades.
--- a/src/recovery/start.cpp
+++ b/src/recovery/start.cpp
@@ -82,7 +82,6 @@
   }
   // What was deleted on suspicion tells nothing about whether the suspicion was right.
   if (w.state == WordState::suspected && s == WordState::lost) experience_.lost();
-  if (speaks) w.replaced = false;
   w.state = s;
   w.since = now;
 }
@@ -216,7 +215,8 @@
   std::uint32_t open = 0, waited_for = 0;
   for (MachineIndex m : model_.machines_of(p)) {
     WordState s = word(m);
-    bool at_start = model_.machine(m).taken_over;
+    const Machine& machine = model_.machine(m);
+    bool at_start = machine.taken_over && !may_be_silent(machine);
     open += at_start && (s == WordState::awaited || s == WordState::heard || s == WordState::differing ||
                          s == WordState::suspected || s == WordState::condemned);
     waited_for += at_start && s == WordState::awaited;
@@ -230,7 +230,10 @@
   // Nothing was running before: there is nothing to square and no demand that was forgotten.
   bool fresh = part.counts.expected == 0;
   for (std::uint32_t i = 0; i < parts_.size(); ++i) fresh = fresh && model_.machines_of(PartIndex{i}).empty();
-  if (part.state == PartState::squaring && open == 0)
+  // What is still open once every silence is proof holds nothing back any more: a machine that a lease says
+  // nothing of (empty, and handed over to us) must not keep all others from going back.
+  bool proved = now - part.since > model_.settings.takeover_silence_s() + model_.settings.report_s;
+  if (part.state == PartState::squaring && (open == 0 || proved))
     set_state(p, p == pool_part && !fresh ? PartState::settling : PartState::serving, now);
   if (part.state == PartState::settling && now - part.since > settings_.demand_window_s)
     set_state(p, PartState::easing, now);
@@ -264,9 +267,10 @@
 
 void Start::forget_others(Seconds now) {
   for (auto it = told_suspects_.begin(); it != told_suspects_.end();) {
-    bool old = now - it->second > told_s;
-    if (old) set_state(it->first, WordState::none, now);
-    it = old ? told_suspects_.erase(it) : std::next(it);
+    it = now - it->second > told_s ? told_suspects_.erase(it) : std::next(it);
+  }
+  for (auto it = replaced_.begin(); it != replaced_.end();) {
+    it = now - it->second > model_.settings.takeover_silence_s() ? replaced_.erase(it) : std::next(it);
   }
   for (std::uint32_t i = 0; i < words_.size(); ++i) {
     MachineIndex m{i};
@@ -346,7 +350,7 @@
 
 std::vector<Replacement> Start::replacements(Seconds now) const {
   std::vector<Replacement> out;
-  std::size_t up = 0, replaced = 0;
+  std::size_t up = 0;
   double gone = 0;  // how many are expected not to come back
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     MachineIndex mi{i};
@@ -357,20 +361,16 @@
     Seconds from = std::max(m.last_answered, m.part_since);
     Seconds proof_at = from + model_.settings.lease_over_s();
     gone += 1 - chance_of_word(experience_, now - from, proof_at - now);
-    if (mi.v < words_.size() && words_[mi.v].replaced) {
-      ++replaced;
-    } else {
-      out.push_back({mi, m.rec.part, {m.rec.type, m.rec.zone, m.rec.spot}});
-    }
+    if (replaced_.count(mi) == 0) out.push_back({mi, m.rec.part, {m.rec.type, m.rec.zone, m.rec.spot}});
   }
   double wanted = std::min(gone, settings_.replace_share * static_cast<double>(up));
-  auto rest = static_cast<std::size_t>(std::max(0.0, wanted - static_cast<double>(replaced)));
+  auto rest = static_cast<std::size_t>(std::max(0.0, wanted - static_cast<double>(replaced_.size())));
   if (out.size() > rest) out.resize(rest);
   return out;
 }
 
 void Start::under_way(MachineIndex suspect) {
-  word_of(suspect).replaced = true;
+  replaced_.emplace(suspect, passed_at_);
 }
 
 }  // namespace oxbowmill::recovery
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -232,6 +232,20 @@
   EXPECT_EQ(s.start().state(red), PartState::squaring) << "the wait for words is bounded";
 }
 
+TEST(Start, WhereAZoneFallsSilentInOrdinaryServiceNobodyIsSuspected) {
+  Started s(8);
+  s.take_over();
+  s.c.run(3, 1);
+  ASSERT_EQ(s.start().state(red), PartState::serving);
+  for (int i = 0; i < 4; ++i) s.c.silenced.insert(name(i));
+  s.c.run(9, 1);
+  for (int i = 0; i < 8; ++i) EXPECT_NE(s.word(i), WordState::suspected) << i;
+  // And when the zone speaks again, all have the same time to do so.
+  for (int i = 0; i < 3; ++i) s.c.silenced.erase(name(i));
+  s.c.run(1, 1);
+  EXPECT_NE(s.word(3), WordState::suspected);
+}
+
 TEST(Start, AStallOfItsOwnIsNobodyElsesSilence) {
   Started s(8);
   s.take_over();
@@ -244,6 +258,10 @@
     s.c.node(1).renew(s.c.now);
     s.c.node(1).sync(s.c.now);
   }
+  // What the others have said meanwhile is read before its first pass.
+  for (int i = 0; i < 8; ++i) {
+    if (i != 3) s.c.exchange(name(i), 1);
+  }
   s.c.run(3, 1);
   EXPECT_NE(s.word(3), WordState::suspected);
 }
@@ -404,6 +422,40 @@
   EXPECT_FALSE(start.suspected(s.machine("m0")));
 }
 
+TEST(Start, WhatOthersSuspectIsReplacedOnceThoughTheirWordComesAndGoes) {
+  Started s(20);
+  s.take_over();
+  s.c.run(2, 1);
+  recovery::Start& start = s.start();
+  std::size_t asked = 0;
+  for (int round = 0; round < 5; ++round) {
+    for (int i = 0; i < 4; ++i) start.heard_of_suspect(s.machine(name(i)), s.c.now);
+    for (const Replacement& r : start.replacements(s.c.now)) {
+      start.under_way(r.suspect);
+      ++asked;
+    }
+    // Longer than a word of others counts, and then it comes again.
+    for (int i = 0; i < 8; ++i) start.pass(s.c.now += 0.5);
+  }
+  EXPECT_EQ(asked, 3U) << "0.15 of 20";
+}
+
+TEST(Start, AMachineOfWhichNothingCanBeProvedDoesNotKeepOthersFromGoingBack) {
+  Cluster c;
+  for (int i = 0; i < 6; ++i) c.add_machine(name(i), "a", ".pool");
+  c.run(2);
+  c.kill_node(0);
+  c.now += 4;
+  recovery::Settings settings;
+  c.node(1).square(settings);
+  c.node(1).claim_all(c.now);
+  // It was up, nothing is on it, and it stays silent: no lease speaks for it.
+  c.node(1).model.machine(c.node(1).model.names.machines.find("m0")).up = true;
+  c.silenced.insert("m0");
+  c.run(c.node(1).model.settings.takeover_silence_s() + settings.demand_window_s + 6, 1);
+  EXPECT_GE(c.node(1).start->state(pool_part), PartState::easing);
+}
+
 TEST(Start, ReplacementsAreBoundedAndAskedForOnce) {
   Started s(20);
   for (int i = 0; i < 5; ++i) s.c.silenced.insert(name(i));
