--- a/src/recovery/words.cpp
+++ b/src/recovery/words.cpp
@@ -24,8 +24,10 @@
 }
 
 double Experience::chance_of_return() const {
-  // One of each seen before anything was: without evidence the chances are even.
-  return std::max(least_chance, (back_ + 1) / (back_ + gone_ + 2));
+  // Before anything was seen, three of four troubles are taken to pass: a deletion that was wrong is a loss
+  // for certain, one that comes late only a delay.
+  constexpr double passed = 3, stayed = 1;
+  return std::max(least_chance, (back_ + passed) / (back_ + gone_ + passed + stayed));
 }
 
 Seconds threshold(const std::vector<double>& first_words, std::uint32_t expected, Seconds floor, Seconds cap,
