Start: a word is its state alone; whether a zone speaks is worked out once a pass

Found on reading the change again: a machine's word kept its last differences and a time that nobody read, and the share of a zone was worked out again for each of its machines.

--- a/include/oxbowmill/recovery/start.h
+++ b/include/oxbowmill/recovery/start.h
@@ -59,7 +59,7 @@
   void under_way(MachineIndex suspect) override;
 
   PartState state(PartIndex p) const { return parts_.at(p.v).state; }
-  WordState word(MachineIndex m) const { return m.v < words_.size() ? words_[m.v].state : WordState::none; }
+  WordState word(MachineIndex m) const { return m.v < words_.size() ? words_[m.v] : WordState::none; }
   const Experience& experience() const { return experience_; }
   /// Of the start that is under way or was last: for logs, tests and the laboratory.
   struct Counts {
@@ -75,6 +75,7 @@
  private:
   struct Zone {
     std::uint32_t due = 0, heard = 0;  // now
+    bool speaks = false;               // enough of them for one that does not to be doubted
     std::uint32_t expected = 0;        // whose first words the start waits for
     std::vector<double> first_words;   // seconds from the part's takeover, in order
     Seconds clear_since = 0;           // silence counts from here on
@@ -91,14 +92,14 @@
   /// The only place where a part's state changes.
   void set_state(PartIndex p, PartState s, Seconds now);
   /// The only place where a machine's word changes.
-  void set_state(MachineIndex m, WordState s, Seconds now);
+  void set_state(MachineIndex m, WordState s);
   void count_zones(PartIndex p, Seconds now);
   void doubt(PartIndex p, Seconds now);
   void advance(PartIndex p, Seconds now);
   void forget_others(Seconds now);
   /// No word of the machine is waited for: it never was up, or it is on its way out.
   bool may_be_silent(const Machine& m) const;
-  Word& word_of(MachineIndex m);
+  WordState& word_of(MachineIndex m);
   /// Another owner's start has not yet heard enough, or nothing is known of it and it is too early.
   bool still_listening(PartIndex p, Seconds now) const;
 
@@ -106,7 +107,7 @@
   const Scheduler& scheduler_;
   Settings settings_;
   std::vector<Part> parts_;
-  std::vector<Word> words_;  // by machine
+  std::vector<WordState> words_;  // by machine
   Experience experience_;
   TokenBucket orders_;  // machines that a start, or a doubt, gives back
   struct Told {
--- a/include/oxbowmill/recovery/words.h
+++ b/include/oxbowmill/recovery/words.h
@@ -21,12 +21,6 @@
 };
 const char* name_of(WordState s);
 
-struct Word {
-  WordState state = WordState::none;
-  Seconds since = 0;
-  Differences differences;  // of its last report
-};
-
 /// How often a suspicion turned out right; old evidence fades.
 class Experience {
  public:
--- a/src/recovery/start.cpp
+++ b/src/recovery/start.cpp
@@ -32,7 +32,7 @@
               std::max(1.0, settings.return_share * model.settings.state_write_rps)),
       told_(model.parts()) {}
 
-Word& Start::word_of(MachineIndex m) {
+WordState& Start::word_of(MachineIndex m) {
   if (m.v >= words_.size()) words_.resize(m.v + 1);
   return words_[m.v];
 }
@@ -59,14 +59,18 @@
   if (on_state) on_state();
 }
 
-void Start::set_state(MachineIndex m, WordState s, Seconds now) {
-  Word& w = word_of(m);
-  if (s == WordState::none) w = {};
-  if (w.state == s) return;
-  SPDLOG_DEBUG("word of machine {}: {} -> {}", model_.names.machines.name(m), name_of(w.state), name_of(s));
+void Start::set_state(MachineIndex m, WordState s) {
+  WordState& w = word_of(m);
+  if (w == s) return;
+  // No longer ours, perhaps without a record: nothing is counted of it any more.
+  if (s == WordState::none) {
+    w = s;
+    return;
+  }
+  SPDLOG_DEBUG("word of machine {}: {} -> {}", model_.names.machines.name(m), name_of(w), name_of(s));
   const Machine& machine = model_.machine(m);
   Counts& c = parts_[machine.rec.part.v].counts;
-  bool doubted = w.state == WordState::suspected || w.state == WordState::condemned;
+  bool doubted = w == WordState::suspected || w == WordState::condemned;
   bool speaks = s == WordState::heard || s == WordState::differing || s == WordState::squared;
   if (s == WordState::suspected && !doubted) {
     ++c.suspected;
@@ -81,9 +85,8 @@
     SPDLOG_INFO("machine {}: speaks again", model_.names.machines.name(m));
   }
   // What was deleted on suspicion tells nothing about whether the suspicion was right.
-  if (w.state == WordState::suspected && s == WordState::lost) experience_.lost();
-  w.state = s;
-  w.since = now;
+  if (w == WordState::suspected && s == WordState::lost) experience_.lost();
+  w = s;
 }
 
 bool Start::may_be_silent(const Machine& m) const {
@@ -101,8 +104,8 @@
   for (MachineIndex m : model_.machines_of(p)) {
     const Machine& machine = model_.machine(m);
     bool silent = may_be_silent(machine);
-    set_state(m, WordState::none, now);
-    set_state(m, silent ? WordState::booting : WordState::awaited, now);
+    set_state(m, WordState::none);
+    set_state(m, silent ? WordState::booting : WordState::awaited);
     part.counts.expected += silent ? 0 : 1;
     if (!silent) ++part.zones[machine.rec.zone.v].expected;
   }
@@ -127,23 +130,21 @@
     case Standing::fit:
       break;
   }
-  Word& w = word_of(mi);
-  if (w.state == WordState::squared) return;
+  WordState& w = word_of(mi);
+  if (w == WordState::squared) return;
   const Machine& m = model_.machine(mi);
-  bool first = w.state == WordState::awaited;
-  w.differences = compare(model_, mi, r);
+  bool first = w == WordState::awaited;
+  Differences differences = compare(model_, mi, r);
   bool token_shown = r.token >= model_.least_token(m);
   if (first) {
     ++part.counts.heard;
     if (m.taken_over) part.zones[m.rec.zone.v].first_words.push_back(now - part.since);
-    part.counts.first += w.differences;
-    if (!w.differences.any()) ++part.counts.matched;
+    part.counts.first += differences;
+    if (!differences.any()) ++part.counts.matched;
   }
-  set_state(mi,
-            !token_shown          ? WordState::heard
-            : w.differences.any() ? WordState::differing
-                                  : WordState::squared,
-            now);
+  set_state(mi, !token_shown        ? WordState::heard
+                : differences.any() ? WordState::differing
+                                    : WordState::squared);
 }
 
 void Start::count_zones(PartIndex p, Seconds now) {
@@ -160,10 +161,10 @@
   }
   for (std::uint32_t i = 0; i < part.zones.size(); ++i) {
     Zone& z = part.zones[i];
-    bool speaks = z.due >= least_speakers && z.heard >= settings_.heard_share * z.due;
+    z.speaks = z.due >= least_speakers && z.heard >= settings_.heard_share * z.due;
     // Where a zone as a whole is not heard, no single machine of it is to blame. In a start all had the same
     // time to speak, so it counts from there.
-    if ((!speaks && part.state != PartState::listening) || scheduler_.dark(ZoneIndex{i}, now))
+    if ((!z.speaks && part.state != PartState::listening) || scheduler_.dark(ZoneIndex{i}, now))
       z.clear_since = now;
   }
 }
@@ -173,23 +174,22 @@
   Seconds patience = model_.settings.arrival_s();
   for (MachineIndex mi : model_.machines_of(p)) {
     const Machine& m = model_.machine(mi);
-    Word& w = word_of(mi);
+    WordState& w = word_of(mi);
     // Handed over, taken in or up since: it is one of ours now.
     if (may_be_silent(m)) {
-      if (w.state == WordState::none) set_state(mi, WordState::booting, now);
-      if (w.state == WordState::suspected && m.rec.mark == MachineMark::deleting)
-        set_state(mi, WordState::condemned, now);
+      if (w == WordState::none) set_state(mi, WordState::booting);
+      if (w == WordState::suspected && m.rec.mark == MachineMark::deleting)
+        set_state(mi, WordState::condemned);
       continue;
     }
     if (m.state == MachineState::silent) {
-      set_state(mi, WordState::lost, now);
+      set_state(mi, WordState::lost);
       continue;
     }
     bool spoken = m.last_answered >= m.part_since;
-    if (w.state == WordState::none || w.state == WordState::booting || w.state == WordState::lost)
-      set_state(mi, spoken ? WordState::squared : WordState::awaited, now);
+    if (w == WordState::none || w == WordState::booting || w == WordState::lost)
+      set_state(mi, spoken ? WordState::squared : WordState::awaited);
     Zone& z = part.zones[m.rec.zone.v];
-    bool speaks = z.due >= least_speakers && z.heard >= settings_.heard_share * z.due;
     // An earlier owner that lacks only the state service keeps its workers through its grace: they are well,
     // and with it. (Without this a cut of one owner had 268 machines deleted that ran on.)
     Seconds from = std::max({m.last_answered, m.taken_over ? scheduler_.ours_alone_since(m) : m.part_since,
@@ -199,14 +199,14 @@
       double t = threshold(z.first_words, z.expected, first_word_s, patience, settings_);
       after = t < 0 ? 1e9 : t;
     }
-    if (w.state != WordState::suspected && w.state != WordState::condemned) {
-      if (speaks && now - from > after) set_state(mi, WordState::suspected, now);
+    if (w != WordState::suspected && w != WordState::condemned) {
+      if (z.speaks && now - from > after) set_state(mi, WordState::suspected);
     }
-    if (w.state == WordState::suspected && settings_.delete_suspects && speaks && !m.rec.market.valid()) {
+    if (w == WordState::suspected && settings_.delete_suspects && z.speaks && !m.rec.market.valid()) {
       Seconds proof_at = scheduler_.proved_empty_at(m);
       Stake s = stake(model_, mi, proof_at, chance_of_word(experience_, now - from, proof_at - now), now);
       // Each costs changes that others' work waits for too: from the same budget as returns.
-      if (s.pays() && orders_.take(1, now)) set_state(mi, WordState::condemned, now);
+      if (s.pays() && orders_.take(1, now)) set_state(mi, WordState::condemned);
     }
   }
 }
@@ -278,7 +278,7 @@
     MachineIndex m{i};
     const Machine& machine = model_.machine(m);
     bool ours = machine.stamp != 0 && scheduler_.owns(machine.rec.part);
-    if (!ours && words_[i].state != WordState::none) set_state(m, WordState::none, now);
+    if (!ours && words_[i] != WordState::none) set_state(m, WordState::none);
   }
 }
 
