Every job begins: promise of a time crosses ranks; durable decisions, releases, models begun

Change: core/promise: slack until a job's last task has to be sent out; pressing jobs go first in their rank and their tasks are not stopped before they have begun, lifted ones go before other ranks within a share of the part's machines. core/counsel is the seam by which durable decisions (accord) hold placements; release and models decide by it, not yet wired into tests.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -2,7 +2,10 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <event2/event.h>
+
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <cstdlib>
 
 #include "oxbowmill/service/node.h"
@@ -19,6 +22,19 @@
   spdlog::set_pattern("%l %v");
 }
 
+/// The calendar is read again on SIGHUP; one that cannot be read leaves the old one in force.
+struct Reload {
+  oxbowmill::service::Node& node;
+  const std::vector<std::string>& files;
+  void read() const {
+    try {
+      node.load_calendar(oxbowmill::config::load_calendar(files));
+    } catch (const std::exception& e) {
+      SPDLOG_ERROR("calendar not read again: {}", e.what());
+    }
+  }
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -54,6 +70,13 @@
   try {
     auto base = oxbowmill::net::make_base();
     oxbowmill::service::Node node(base.get(), std::move(config));
+    Reload reload{node, operator_files};
+    std::unique_ptr<event, void (*)(event*)> hangup(
+        evsignal_new(
+            base.get(), SIGHUP,
+            [](evutil_socket_t, short, void* r) { static_cast<Reload*>(r)->read(); }, &reload),
+        event_free);
+    event_add(hangup.get(), nullptr);
     event_base_dispatch(base.get());
   } catch (const std::exception& e) {
     SPDLOG_ERROR("cannot run: {}", e.what());
--- a/include/oxbowmill/config/config.h
+++ b/include/oxbowmill/config/config.h
@@ -7,7 +7,9 @@
 #include "oxbowmill/core/settings.h"
 #include "oxbowmill/market/settings.h"
 #include "oxbowmill/net/http.h"
+#include "oxbowmill/models/terms.h"
 #include "oxbowmill/recovery/settings.h"
+#include "oxbowmill/release/terms.h"
 #include "oxbowmill/yaml/map.h"
 
 namespace oxbowmill::config {
@@ -24,6 +26,9 @@
   Names names;
   market::Settings markets;
   recovery::Settings recovery;
+  release::Calendar calendar;
+  models::Settings models;
+  double skew_s = 1;  // bound of the time of day's error
   net::Address bind, peer_bind, cloud, state;
   std::vector<Peer> peers;
 };
@@ -32,5 +37,7 @@
 Config load(const std::string& toml_file, const std::vector<std::string>& yaml_files);
 /// Reads an operators' file into the settings; teams and markets are names of its `names`.
 void load_operator(const std::string& yaml_file, Config& config);
+/// The calendar alone, read again from the operators' files that hold one.
+release::Calendar load_calendar(const std::vector<std::string>& yaml_files);
 
 }  // namespace oxbowmill::config
--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -45,10 +45,10 @@
   void write_adoptions(Effects& out);
   void write_moves(Effects& out);
   void serve_demand(Clock clock, Effects& out);
-  std::vector<JobIndex> demand_order(Clock clock, std::set<JobIndex>& guaranteed) const;
+  std::vector<Waiting> demand_order(Clock clock, std::set<JobIndex>& guaranteed) const;
   std::vector<Bin> part_bins(PartIndex part, Seconds now) const;
   /// Machines of other parts that may be drained for this job.
-  std::vector<Bin> victims(const Job& j, bool guaranteed) const;
+  std::vector<Bin> victims(const Job& j, bool guaranteed, Clock clock) const;
   void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
   void rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins);
   void note_need(JobIndex ji, std::uint32_t tasks, bool guaranteed, Clock clock);
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -5,11 +5,14 @@
 #include <set>
 #include <unordered_map>
 
-#include "oxbowmill/core/records.h"
+#include "oxbowmill/core/counsel.h"
 #include "oxbowmill/core/settings.h"
 
 namespace oxbowmill {
 
+/// A start that is stopped by command sooner than this does not count (PROTOCOL, "How aims are counted").
+constexpr Seconds begun_after_s = 30;
+
 /// A task that is possibly on a machine: from the durable placement until its durable removal.
 enum class PlacementState : std::uint8_t {
   placed,    // durable, no start sent by us
@@ -42,6 +45,9 @@
   std::uint64_t sent_tenure = 0, sent_serial = 0;
   Seconds started_at = 0;  // first start order by this owner, or takeover
   Seconds running_at = -1;
+  Seconds known_at = 0;  // record first seen by this node
+  /// Runs for so long that its start counts, whatever becomes of it.
+  bool has_begun(Seconds now) const { return running_at >= 0 && now - running_at >= begun_after_s; }
 };
 
 enum class GangState : std::uint8_t { idle, unknown, gathering, running, stopping };
@@ -58,6 +64,9 @@
   std::unordered_map<std::uint32_t, Chunk> chunks;
   std::map<TaskNo, Placement> placed;
   std::vector<std::uint64_t> busy;  // bit per task: done or placed
+  /// Bit per task: has begun at some time, as far as this owner saw. A task that had and waits again is a
+  /// repetition, not a job that never began.
+  std::vector<std::uint64_t> begun;
   double share = 1;                 // of a machine that one task takes up
   std::uint32_t done = 0;
   std::uint32_t scan_from = 0;  // no free bit in words before this one
@@ -75,6 +84,9 @@
   std::vector<double> finished_times;  // the detector's: in order of finishing
   double baseline = -1;
   bool final_phase() const { return phase != JobPhase::open; }
+  bool has_begun(TaskNo t) const {
+    return t / 64 < begun.size() && (begun[t / 64] >> (t % 64) & 1) != 0;
+  }
   std::uint32_t pending() const {
     return phase == JobPhase::open ? spec.tasks - done - static_cast<std::uint32_t>(placed.size()) : 0;
   }
@@ -131,6 +143,11 @@
   std::map<MarketIndex, Entry<MarketRecord>> markets;
 };
 
+struct Agreed {
+  AgreedRecord rec;
+  Stamp stamp = 0;
+};
+
 struct Claim {
   ClaimRecord rec;
   Stamp stamp = 0;
@@ -186,6 +203,10 @@
   const Placement* find_placement(TaskId id) const { return const_cast<Model*>(this)->find_placement(id); }
   /// Takes (or gives back, with -1) room and quota for a task whose placement is being written.
   void reserve(MachineIndex m, const JobSpec& spec, int sign);
+  /// What durable decisions say of the job.
+  Advice advice(JobIndex j) const;
+  /// Of its pending tasks, how many may be placed now.
+  std::uint32_t placeable(JobIndex j) const;
   /// The lowest tasks that are neither done nor placed, up to `most`.
   std::vector<TaskNo> pending_tasks(Job& j, std::size_t most) const;
   /// Machines' worth of room that ended tasks have left since this controller started.
@@ -207,6 +228,8 @@
   Names names;
   double wall_ahead = 0;  // time of day minus steady clock; 0: not known
   MoneyTables money;
+  std::map<std::string, Agreed> agreed;  // by kind/name
+  const Counsel* counsel = nullptr;      // none: no decision holds anything
   std::vector<MachineType> catalog;  // by type
   std::vector<double> image_gb;      // by image
   std::set<JobIndex> dirty;          // jobs whose placements, phase or pending tasks changed
--- a/include/oxbowmill/core/order.h
+++ b/include/oxbowmill/core/order.h
@@ -1,15 +1,10 @@
 // In which order waiting jobs get room.
 #pragma once
 
-#include "oxbowmill/core/model.h"
+#include "oxbowmill/core/promise.h"
 
 namespace oxbowmill {
 
-struct Clock {
-  Seconds now = 0;  // steady
-  double wall = 0;  // time of day
-};
-
 /// A job that has to start by some time, for the choice below.
 struct Due {
   double start_by = 0;  // seconds from now
@@ -21,8 +16,14 @@
 /// would be late (Moore and Hodgson's rule). True: given up.
 std::vector<bool> give_up_late(const std::vector<Due>& jobs, double rate);
 
-/// Waiting jobs of a part: by rank; then those that can still be in time, by the last moment at which they
+struct Waiting {
+  JobIndex job;
+  Promise promise = Promise::ample;
+};
+
+/// Waiting jobs of a part: those that are lifted by the promise that every job begins; then by rank, in it
+/// first those for which that is pressing; then those that can still be in time, by the last moment at which they
 /// must start; then the others, longest first; jobs without a deadline by age.
-std::vector<JobIndex> waiting_order(const Model& model, PartIndex part, Clock clock);
+std::vector<Waiting> waiting_order(const Model& model, PartIndex part, Clock clock);
 
 }  // namespace oxbowmill
--- a/include/oxbowmill/core/records.h
+++ b/include/oxbowmill/core/records.h
@@ -83,6 +83,18 @@
   Evidence evidence;
 };
 
+/// A durable decision (docs/accord.md). What the fields mean is up to its kind; `state` is one of the kind's.
+struct AgreedRecord {
+  std::string state;
+  std::uint64_t version = 0;  // of the operators' file that it was made under
+  std::uint64_t epoch = 0;    // rounds of the kind's states; never falls
+  std::uint64_t serial = 0;   // counts its changes
+  double at = 0;              // time of day of the last change of state
+  std::string why;            // for people
+  std::map<std::string, std::uint64_t> counts;
+  std::map<std::string, std::string> notes;
+};
+
 struct ClaimRecord {
   std::string node;
   std::uint64_t hold = 0;
@@ -115,8 +127,11 @@
 struct MarketKey {
   MarketIndex market;
 };
-using Key =
-    std::variant<JobKey, ChunkKey, MachineKey, ClaimKey, NodeKey, FinalKey, BidKey, LedgerKey, MarketKey>;
+struct AgreedKey {
+  std::string name;  // kind/name
+};
+using Key = std::variant<JobKey, ChunkKey, MachineKey, ClaimKey, NodeKey, FinalKey, BidKey, LedgerKey,
+                         MarketKey, AgreedKey>;
 
 struct Guard {
   Key key;
@@ -127,7 +142,7 @@
 struct Change {
   Key key;
   std::variant<std::monostate, JobRecord, ChunkRecord, MachineRecord, ClaimRecord, JobPhase, BidRecord,
-               LedgerRecord, MarketRecord>
+               LedgerRecord, MarketRecord, AgreedRecord>
       value;
   std::uint64_t hold = 0;  // attached to this hold; 0: none
   bool removal() const { return std::holds_alternative<std::monostate>(value); }
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -56,9 +56,11 @@
 inline std::size_t most_chunks(const Settings& s) {
   return std::min<std::size_t>(s.txn_ops - 2, 8);
 }
-/// Machines that one transaction can guard beside the claim, the job and those records.
+/// Decisions that a placement may have to find unchanged.
+constexpr std::size_t most_advice_guards = 3;
+/// Machines that one transaction can guard beside the claim, the job, those records and decisions.
 inline std::size_t most_machines(const Settings& s) {
-  return 4 * s.txn_ops - 2 - most_chunks(s);
+  return 4 * s.txn_ops - 2 - most_advice_guards - most_chunks(s);
 }
 
 /// A worker that is to report at once, by a command without orders whose token it has not seen.
@@ -149,9 +151,9 @@
   };
   Rooms rooms_of(PartIndex part, Seconds now) const;
   /// The rooms as they are for this job, with what is being left and, if asked, what lower ranks would leave.
-  std::vector<Bin> foresee(const Job& j, const Rooms& rooms, bool preempting) const;
-  bool may_make_room(const Job& victim, const Job& j) const;
-  void make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins, Seconds now);
+  std::vector<Bin> foresee(const Job& j, const Rooms& rooms, bool preempting, Clock clock) const;
+  bool may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const;
+  void make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins, Clock clock);
   void find_slow(PartIndex part, Seconds now);
   void place(PartIndex part, Clock clock, bool thorough,
              std::map<JobIndex, std::vector<PlacedTask>>& planned);
--- a/include/oxbowmill/core/types.h
+++ b/include/oxbowmill/core/types.h
@@ -37,6 +37,11 @@
 using Seconds = double;         // steady clock, or a duration
 using Money = std::int64_t;     // millionths of the currency, so that sums are exact
 
+struct Clock {
+  Seconds now = 0;  // steady
+  double wall = 0;  // time of day
+};
+
 /// Maps names to dense indices at the door; inside only indices are used.
 template <class I>
 class NameTable {
--- a/include/oxbowmill/lab/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -9,7 +9,9 @@
 #include "oxbowmill/lab/state.h"
 #include "oxbowmill/lab/worker.h"
 #include "oxbowmill/market/desk.h"
+#include "oxbowmill/models/keeper.h"
 #include "oxbowmill/recovery/start.h"
+#include "oxbowmill/release/planner.h"
 #include "oxbowmill/service/outbox.h"
 
 namespace oxbowmill::lab {
@@ -48,6 +50,8 @@
   ReportAnswer hear(const WorkerReport& r, double now);
   /// Starts are squared from now on, as `deploy/recovery.yaml` switches it on.
   void square(const recovery::Settings& settings);
+  /// Keeps to this calendar, and to these models, from now on.
+  void agree(release::Calendar calendar, models::Settings models = {});
   /// Trades with these markets from now on; their names are known to the model.
   void trade(const market::Settings& settings, std::vector<Market>& markets);
 
@@ -64,11 +68,17 @@
   int refused = 0;
   std::unique_ptr<market::Desk> desk;
   std::unique_ptr<recovery::Start> start;
+  std::unique_ptr<accord::Desk> accord;
+  std::unique_ptr<release::Planner> planner;
+  std::unique_ptr<models::Keeper> keeper;
+  std::uint64_t decisions = 0;  // durable ones of this controller
 
  private:
   State& state_;
   std::size_t heard_ = 0;
+  double asked_at_ = 0;
   service::Outbox outbox_;
+  accord::Council council_;
   std::vector<Market>* markets_ = nullptr;
 };
 
--- /dev/null
+++ b/include/oxbowmill/models/terms.h
@@ -0,0 +1,25 @@
+// What operators say of a model: whose replicas these are, and which jobs are its calls. docs/models.md.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace oxbowmill::models {
+
+struct Terms {
+  std::string name;
+  std::string job_class, image;    // of its standing job: one of the two at least
+  std::uint32_t least = 0, most = 1;
+  double calls_per_replica = 8;
+  std::vector<std::string> calls;  // classes of jobs
+  double idle_factor = 1.5;        // idle after so many times the median of its cold starts
+  double idle_floor_s = 30;        // and never sooner
+};
+
+struct Settings {
+  std::uint64_t version = 0;
+  std::vector<Terms> models;
+  bool empty() const { return models.empty(); }
+};
+
+}  // namespace oxbowmill::models
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -3,6 +3,7 @@
 
 #include "oxbowmill/config/config.h"
 #include "oxbowmill/recovery/start.h"
+#include "oxbowmill/service/agreements.h"
 #include "oxbowmill/service/intake.h"
 #include "oxbowmill/service/outbox.h"
 #include "oxbowmill/service/peers.h"
@@ -13,6 +14,8 @@
 class Node {
  public:
   Node(event_base* base, config::Config config);
+  /// A newer calendar file.
+  void load_calendar(release::Calendar calendar) { agreements_.load(std::move(calendar)); }
 
  private:
   void on_request(net::Request&& r);
@@ -51,6 +54,7 @@
   Mirror mirror_;
   Intake intake_;
   std::unique_ptr<recovery::Start> start_;  // null unless switched on
+  Agreements agreements_;
   std::unique_ptr<Trading> trading_;        // null without markets
   net::HttpClient cloud_;
   TokenBucket cloud_bucket_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <map>
 
 #include "oxbowmill/state/keys.h"
@@ -102,6 +103,8 @@
       {"idle_keep_s", {&O::idle_keep_s, 0, 86400}},
       {"spot_keep_factor", {&O::spot_keep_factor, 0, 100}},
       {"rent_patience_s", {&O::rent_patience_s, 0, 3600}},
+      {"begin_within_s", {&O::begin_within_s, 0, 86400}},
+      {"promise_share", {&O::promise_share, 0, 1}},
       {"give_back_s", {&O::give_back_s, 0, 86400}},
       {"boot_patience", {&O::boot_patience, 1, 100}},
       {"refusal_pause_s", {&O::refusal_pause_s, 0, 3600}},
@@ -207,8 +210,137 @@
   m.done();
 }
 
+/// "06:30" or "06:30:15".
+unsigned read_time_of_day(yaml::Map& m, const std::string& key) {
+  std::string text = m.text(key);
+  std::tm tm{};
+  for (const char* format : {"%H:%M:%S", "%H:%M"}) {
+    tm = {};
+    const char* end = strptime(text.c_str(), format, &tm);
+    if (end != nullptr && *end == 0)
+      return static_cast<unsigned>(tm.tm_hour * 3600 + tm.tm_min * 60 + tm.tm_sec);
+  }
+  m.fail(key, "not a time of day");
+}
+
+release::Appointed read_appointed(yaml::Map m) {
+  static const std::vector<std::string> days = {"sun", "mon", "tue", "wed", "thu", "fri", "sat"};
+  release::Appointed a;
+  a.zone = m.text("zone");
+  a.second_of_day = read_time_of_day(m, "at");
+  std::vector<std::string> weekly, holidays;
+  m.get("weekly", weekly).get("date", a.date).get("holidays", holidays);
+  for (const std::string& d : weekly) {
+    auto at = std::find(days.begin(), days.end(), d);
+    if (at == days.end()) m.fail("weekly", "not a day of the week: " + d);
+    a.weekdays.push_back(static_cast<unsigned>(at - days.begin()));
+  }
+  a.holidays.insert(holidays.begin(), holidays.end());
+  m.number("window_s", a.window_s, 0, 7 * 86400);
+  m.done();
+  if (std::string fault = release::fault_of(a); !fault.empty()) {
+    std::size_t colon = fault.find(": ");
+    if (colon == std::string::npos) m.fail("weekly", fault);
+    m.fail(fault.substr(0, colon), fault.substr(colon + 2));
+  }
+  return a;
+}
+
+release::Matcher read_matcher(const yaml::Map& of, const std::string& key, const YAML::Node& n) {
+  release::Matcher x;
+  if (n.IsScalar()) {
+    x.ref = n.as<std::string>();
+    return x;
+  }
+  yaml::Map m = of.sub(key, n);
+  x.job_class = m.text("class");
+  x.image = m.text("image");
+  m.get("count", x.count);
+  m.done();
+  return x;
+}
+
+release::Calendar read_calendar(yaml::Map m) {
+  release::Calendar c;
+  m.get("version", c.version);
+  if (c.version == 0) m.fail("version", "missing: controllers whose files differ agree on the newer one");
+  auto list = m.take("releases");
+  if (list && !list->IsSequence()) m.fail("releases", "not a list");
+  for (std::size_t i = 0; list && i < list->size(); ++i) {
+    yaml::Map r = m.sub("releases[" + std::to_string(i) + "]", (*list)[i]);
+    release::Terms t;
+    t.name = r.text("name");
+    t.revision = r.text("revision");
+    auto editions = r.take("editions");
+    if (!editions || !editions->IsMap()) r.fail("editions", "missing or not a map");
+    yaml::Map all = r.sub("editions", *editions);
+    for (const std::string& name : all.keys()) {
+      yaml::Map e = all.sub(name, *all.take(name));
+      release::Edition x;
+      x.name = name;
+      auto renders = e.take("render");
+      if (!renders || !renders->IsSequence()) e.fail("render", "missing or not a list");
+      for (std::size_t k = 0; k < renders->size(); ++k)
+        x.renders.push_back(read_matcher(e, "render[" + std::to_string(k) + "]", (*renders)[k]));
+      auto publish = e.take("publish");
+      if (!publish) e.fail("publish", "missing");
+      x.publish = read_matcher(e, "publish", *publish);
+      e.done();
+      t.editions.push_back(std::move(x));
+    }
+    all.done();
+    if (auto when = r.take("when")) t.when = read_appointed(r.sub("when", *when));
+    r.done();
+    if (std::string fault = release::fault_of(t); !fault.empty()) {
+      std::size_t colon = fault.find(": ");
+      r.fail(fault.substr(0, colon), fault.substr(colon + 2));
+    }
+    bool twice = std::any_of(c.releases.begin(), c.releases.end(),
+                             [&t](const release::Terms& o) { return o.name == t.name; });
+    if (twice) r.fail("name", "named twice");
+    c.releases.push_back(std::move(t));
+  }
+  m.done();
+  return c;
+}
+
+void read_models(yaml::Map m, models::Settings& s) {
+  auto list = m.take("list");
+  if (!list || !list->IsSequence() || list->size() == 0) m.fail("list", "missing or not a list of models");
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    yaml::Map e = m.sub("list[" + std::to_string(i) + "]", (*list)[i]);
+    models::Terms t;
+    t.name = e.text("name");
+    if (!wire::valid_id(t.name)) e.fail("name", "not usable as a model's name");
+    for (const models::Terms& other : s.models) {
+      if (other.name == t.name) e.fail("name", "named twice");
+    }
+    e.get("class", t.job_class).get("image", t.image).get("calls", t.calls);
+    if (t.job_class.empty() && t.image.empty()) e.fail("class", "missing, and no image: whose replicas?");
+    if (t.calls.empty()) e.fail("calls", "missing: no class of jobs would ever wake it");
+    e.get("least", t.least).get("most", t.most);
+    if (t.most == 0 || t.least > t.most) e.fail("most", "must be at least 1, and not less than `least`");
+    e.number("calls_per_replica", t.calls_per_replica, 0.01, 1e6);
+    e.number("idle_factor", t.idle_factor, 0, 1000);
+    e.number("idle_floor_s", t.idle_floor_s, 0, 86400);
+    e.done();
+    s.models.push_back(std::move(t));
+  }
+  m.done();
+}
+
 }  // namespace
 
+release::Calendar load_calendar(const std::vector<std::string>& files) {
+  release::Calendar c;
+  for (const std::string& file : files) {
+    YAML::Node root = yaml::load(file);
+    if (!root.IsMap() || !root["calendar"]) continue;
+    c = read_calendar(yaml::Map(file, "", root).sub("calendar", root["calendar"]));
+  }
+  return c;
+}
+
 void load_operator(const std::string& file, Config& config) {
   OperatorSettings& op = config.settings.op;
   YAML::Node root = yaml::load(file);
@@ -220,6 +352,14 @@
     if (config.markets.enabled()) m.fail("markets", "set in two files");
     read_markets(m.sub("markets", *n), config.markets, config.names);
   }
+  if (auto n = m.take("calendar")) {
+    if (!config.calendar.empty()) m.fail("calendar", "set in two files");
+    config.calendar = read_calendar(m.sub("calendar", *n));
+  }
+  if (auto n = m.take("models")) {
+    if (!config.models.empty()) m.fail("models", "set in two files");
+    read_models(m.sub("models", *n), config.models);
+  }
   if (auto n = m.take("recovery")) read_recovery(m.sub("recovery", *n), config.recovery);
   m.done();
 }
@@ -284,6 +424,12 @@
     auto at = std::lower_bound(s.deadline_multiples.begin(), s.deadline_multiples.end(), times);
     if (at == s.deadline_multiples.end() || *at != times) s.deadline_multiples.insert(at, times);
   }
+  c.skew_s = p.number_or("skew_ms", 0, 1000) / 1000;
+  // Beside the terms stand jobs and notes: half of a value is theirs.
+  for (const release::Terms& r : c.calendar.releases) {
+    if (static_cast<double>(release::to_text(r).size()) > s.value_kb * 1024 / 2)
+      throw Error("calendar: release " + r.name + ": too long for a record of the state service");
+  }
   // The hold is shortened where a cancellation could otherwise not be kept; see docs/design.md, "Time".
   constexpr double shortest_hold_s = 1;
   double longest = s.cancel_s - s.lease_over_s() - 2 * Settings::margin_s;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -219,8 +219,8 @@
   return_machines(clock, out);
 }
 
-std::vector<JobIndex> Fleet::demand_order(Clock clock, std::set<JobIndex>& guaranteed) const {
-  std::vector<JobIndex> order;
+std::vector<Waiting> Fleet::demand_order(Clock clock, std::set<JobIndex>& guaranteed) const {
+  std::vector<Waiting> order;
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     PartIndex part{p};
     // A job is within its team's guarantee when it fits into it with the team's earlier unfinished jobs.
@@ -246,10 +246,12 @@
     auto waiting = waiting_order(model_, part, clock);
     order.insert(order.end(), waiting.begin(), waiting.end());
   }
-  std::stable_sort(order.begin(), order.end(), [&](JobIndex a, JobIndex b) {
-    bool ga = guaranteed.count(a) != 0, gb = guaranteed.count(b) != 0;
+  std::stable_sort(order.begin(), order.end(), [&](const Waiting& a, const Waiting& b) {
+    bool ga = guaranteed.count(a.job) != 0, gb = guaranteed.count(b.job) != 0;
     if (ga != gb) return ga;
-    return model_.job(a).spec.rank > model_.job(b).spec.rank;
+    bool la = a.promise == Promise::lifted, lb = b.promise == Promise::lifted;
+    if (la || lb) return la && !lb;
+    return model_.job(a.job).spec.rank > model_.job(b.job).spec.rank;
   });
   return order;
 }
@@ -294,7 +296,7 @@
   return bins;
 }
 
-std::vector<Bin> Fleet::victims(const Job& j, bool guaranteed) const {
+std::vector<Bin> Fleet::victims(const Job& j, bool guaranteed, Clock clock) const {
   std::vector<Bin> bins;
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     PartIndex other{p};
@@ -317,7 +319,8 @@
       for (TaskId id : m.on) {
         const Job* v = model_.live_job(id.job);
         may = may && v != nullptr && (v->spec.rank < j.spec.rank || beyond) &&
-              v->spec.shape == Shape::array && v->spec.save_every_s > 0;
+              v->spec.shape == Shape::array && v->spec.save_every_s > 0 &&
+              may_be_stopped(model_, *v, *model_.find_placement(id), clock);
       }
       if (!may) continue;
       bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, drain_s, model_.catalog[m.rec.type.v].room, 2});
@@ -390,18 +393,20 @@
                team.most.gpus > 0 ? team.most.gpus - use.gpus : 1e12, 1e12};
   }
   std::set<JobIndex> guaranteed;
-  for (JobIndex ji : demand_order(clock, guaranteed)) {
+  for (const Waiting& waiting : demand_order(clock, guaranteed)) {
+    JobIndex ji = waiting.job;
+    bool pressing = waiting.promise != Promise::ample;
     Job& j = model_.job(ji);
     PartIndex part = j.spec.part;
     std::vector<Bin>& bins = own[part.v];
     std::size_t most = std::min<std::size_t>(
-        {j.pending(), static_cast<std::size_t>(how_many_fit(j.spec.need, left[part.v])), 2000});
+        {model_.placeable(ji), static_cast<std::size_t>(how_many_fit(j.spec.need, left[part.v])), 2000});
     if (j.spec.shape == Shape::gang && most < j.pending()) continue;
     auto tasks = model_.pending_tasks(j, most);
     if (tasks.empty()) continue;
     left[part.v] -= static_cast<double>(tasks.size()) * j.spec.need;
     auto by_zone = tasks_by_zone(model_, j);
-    bool spare_whole = scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
+    bool spare_whole = !pressing && scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
     auto take = [&](std::vector<Bin>& from) {
       see_as(j.spec, model_, from);
       for (Bin& b : from) {
@@ -444,7 +449,7 @@
     std::vector<Bin> up, booting;
     for (const Bin& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
     bins = std::move(up);
-    take_with(urgent ? victims(j, within) : std::vector<Bin>{});
+    take_with(urgent ? victims(j, within, clock) : std::vector<Bin>{});
     bins.insert(bins.end(), booting.begin(), booting.end());
     if (!tasks.empty()) take(bins);
     if (!tasks.empty()) take_with({});
@@ -454,7 +459,7 @@
     // Its owner may be placing it at this moment, and what is being written does not show yet.
     if (j.writing || clock.now - j.first_seen < being_placed_s) continue;
     bool patient = clock.now - j.first_seen >= model_.settings.op.rent_patience_s;
-    if (!patient && leaves >= 0 && !spare_whole) continue;
+    if (!patient && leaves >= 0 && !spare_whole && !pressing) continue;
     if (!may_rent(part, ji, within, clock.now)) continue;
     auto lacking = static_cast<std::uint32_t>(tasks.size());
     if (source_ != nullptr) {
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -134,6 +134,11 @@
   // The room is free from the proof on: the record may follow when it is convenient.
   if (is_off(s) != is_off(p.state)) occupy(job(p.job), p, is_off(s) ? -1 : 1);
   p.state = s;
+  if (s >= PlacementState::stopping && p.has_begun(now)) {
+    Job& j = job(p.job);
+    j.begun.resize(j.busy.size());
+    if (p.task / 64 < j.begun.size()) j.begun[p.task / 64] |= 1ULL << (p.task % 64);
+  }
   if (s == PlacementState::stopping) {
     p.stop_since = now;
     kick.insert(p.machine);
@@ -189,6 +194,7 @@
   p.machine = t.machine;
   p.attempt = t.attempt;
   p.restarting = t.restarting;
+  p.known_at = now;
   j.placed.emplace(t.task, p);
   Machine& m = machine(t.machine);
   m.on.push_back({index, t.task});
@@ -244,11 +250,32 @@
     } else {
       nodes_.erase(n->node);
     }
+  } else if (auto* a = std::get_if<AgreedKey>(&change.key)) {
+    if (auto* rec = std::get_if<AgreedRecord>(&change.value)) {
+      agreed[a->name] = {*rec, stamp};
+    } else {
+      agreed.erase(a->name);
+    }
   } else {
     apply_money(change, stamp);
   }
 }
 
+Advice Model::advice(JobIndex j) const {
+  Advice a;
+  if (counsel != nullptr) counsel->advise(j, a);
+  return a;
+}
+
+std::uint32_t Model::placeable(JobIndex ji) const {
+  const Job& j = job(ji);
+  std::uint32_t pending = j.pending();
+  if (pending == 0 || counsel == nullptr) return pending;
+  std::uint32_t most = advice(ji).most;
+  auto placed = static_cast<std::uint32_t>(j.placed.size());
+  return most <= placed ? 0 : std::min(pending, most - placed);
+}
+
 void Model::apply_money(const Change& change, Stamp stamp) {
   if (auto* b = std::get_if<BidKey>(&change.key)) {
     if (auto* rec = std::get_if<BidRecord>(&change.value)) {
--- a/src/core/order.cpp
+++ b/src/core/order.cpp
@@ -15,9 +15,10 @@
 
 struct Entry {
   int rank = 0;
-  int tier = 0;  // 0: can be in time, 1: no deadline, 2: late whatever is done
+  int tier = 0;  // -1: has to begin, 0: can be in time, 1: no deadline, 2: late whatever is done
   double key = 0, since = 0;
   JobIndex job;
+  Promise promise = Promise::ample;
 };
 
 /// Whole, or the missing members of an attempt that has not run yet.
@@ -66,13 +67,46 @@
   return given_up;
 }
 
-std::vector<JobIndex> waiting_order(const Model& model, PartIndex part, Clock clock) {
+/// What is given up for a deadline, or outranked, would otherwise wait as long as others come: its place then
+/// is decided by the time by which it has to begin. How much may cross ranks at a time is bounded, so that
+/// where there is never room enough the ranks still mean something.
+void keep_promises(const Model& model, PartIndex part, Clock clock, std::vector<Entry>& entries) {
+  constexpr int before_all_ranks = -100;
+  std::vector<Entry*> lifted;
+  for (Entry& e : entries) {
+    const Job& j = model.job(e.job);
+    e.promise = promise_of(model, j.spec, clock.wall);
+    if (e.promise != Promise::ample && !waits_to_begin(j)) e.promise = Promise::ample;
+    if (e.promise == Promise::ample) continue;
+    e.tier = -1;
+    e.key = promise_slack(model, j.spec, clock.wall);
+    if (e.promise == Promise::lifted) lifted.push_back(&e);
+  }
+  std::sort(lifted.begin(), lifted.end(), [](const Entry* a, const Entry* b) {
+    return std::tie(a->key, a->job) < std::tie(b->key, b->job);
+  });
+  double room = model.settings.op.promise_share * static_cast<double>(model.machines_of(part).size());
+  bool first = true;
+  for (Entry* e : lifted) {
+    const Job& j = model.job(e->job);
+    room -= j.pending() * j.share;
+    if (room >= 0 || first) {
+      e->rank = before_all_ranks;
+    } else {
+      e->promise = Promise::pressing;
+    }
+    first = false;
+  }
+}
+
+std::vector<Waiting> waiting_order(const Model& model, PartIndex part, Clock clock) {
   std::vector<Entry> entries, due;
   for (JobIndex ji : model.live_jobs(part)) {
     const Job& j = model.job(ji);
-    if (j.pending() == 0) continue;
+    if (model.placeable(ji) == 0) continue;
     if (j.spec.shape == Shape::gang && !gang_may_be_placed(j)) continue;
-    Entry e{-static_cast<int>(j.spec.rank), 1, j.spec.submitted_at, j.spec.submitted_at, ji};
+    double since = j.spec.submitted_at - model.advice(ji).pull_s;
+    Entry e{-static_cast<int>(j.spec.rank), 1, since, since, ji};
     (j.spec.deadline_s < 0 ? entries : due).push_back(e);
   }
   if (!due.empty()) {
@@ -102,11 +136,12 @@
     }
     entries.insert(entries.end(), due.begin(), due.end());
   }
+  keep_promises(model, part, clock, entries);
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
     return std::tie(a.rank, a.tier, a.key, a.since, a.job) < std::tie(b.rank, b.tier, b.key, b.since, b.job);
   });
-  std::vector<JobIndex> out;
-  for (const Entry& e : entries) out.push_back(e.job);
+  std::vector<Waiting> out;
+  for (const Entry& e : entries) out.push_back({e.job, e.promise});
   return out;
 }
 
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -74,11 +74,12 @@
   return rooms;
 }
 
-bool Scheduler::may_make_room(const Job& victim, const Job& j) const {
-  return model_.settings.op.preempt && victim.spec.rank < j.spec.rank && victim.spec.save_every_s > 0;
+bool Scheduler::may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const {
+  return model_.settings.op.preempt && victim.spec.rank < j.spec.rank && victim.spec.save_every_s > 0 &&
+         may_be_stopped(model_, victim, p, clock);
 }
 
-std::vector<Bin> Scheduler::foresee(const Job& j, const Rooms& rooms, bool preempting) const {
+std::vector<Bin> Scheduler::foresee(const Job& j, const Rooms& rooms, bool preempting, Clock clock) const {
   std::vector<Bin> bins = rooms.bins;
   for (std::size_t i = 0; i < bins.size(); ++i) {
     Bin& b = bins[i];
@@ -90,7 +91,7 @@
     for (TaskId id : model_.machine(b.machine).on) {
       const Job& victim = model_.job(id.job);
       const Placement& p = *model_.find_placement(id);
-      if (!may_make_room(victim, j) || is_leaving(p) || is_off(p.state)) continue;
+      if (!may_make_room(victim, p, j, clock) || is_leaving(p) || is_off(p.state)) continue;
       b.room += victim.spec.need;
       b.wait_s = std::max(b.wait_s, leave_s + victim.spec.flush_s);
       b.cost = 2;
@@ -101,7 +102,7 @@
 }
 
 void Scheduler::make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
-                          Seconds now) {
+                          Clock clock) {
   std::map<MachineIndex, Amounts> needed;
   for (const Choice& c : choices) needed[bins[c.bin].machine] += j.spec.need;
   for (auto& [mi, need] : needed) {
@@ -115,11 +116,11 @@
       if (fits(need, free)) break;
       Placement& p = *model_.find_placement(id);
       Job& victim = model_.job(id.job);
-      if (!may_make_room(victim, j) || is_leaving(p) || is_off(p.state)) continue;
+      if (!may_make_room(victim, p, j, clock) || is_leaving(p) || is_off(p.state)) continue;
       free += victim.spec.need;
       SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
-      stop(p, victim.spec.flush_s, now);
-      if (victim.spec.shape == Shape::gang) check_gang(victim, now);
+      stop(p, victim.spec.flush_s, clock.now);
+      if (victim.spec.shape == Shape::gang) check_gang(victim, clock.now);
     }
   }
 }
@@ -205,19 +206,20 @@
   Amounts use = model_.team_use(part);  // all that is possibly on a machine, with what is being written
   Amounts left{quota(team.most.cpus, use.cpus), quota(team.most.gpus, use.gpus), 1e12};
   bool spare_whole = needs_whole_machines(part);
-  for (JobIndex ji : order) {
+  for (const Waiting& waiting : order) {
+    JobIndex ji = waiting.job;
     Job& j = model_.job(ji);
     if (j.writing || clock.now < j.write_after || clock.now < j.place_after) continue;
     bool gang = j.spec.shape == Shape::gang;
     std::size_t most =
-        std::min<std::size_t>(j.pending(), static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
+        std::min<std::size_t>(model_.placeable(ji), static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
     if (most == 0 || (gang && most < j.pending())) continue;
     auto tasks = model_.pending_tasks(j, most);
     auto by_zone = tasks_by_zone(model_, j);
     bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
     std::vector<Bin> bins = rooms.bins;
     see_as(j.spec, model_, bins);
-    if (spare_whole) tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
+    if (spare_whole && waiting.promise == Promise::ample) tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
     if (tasks.empty()) continue;
     auto choices = choose(j.spec, tasks, bins, by_zone);
     Seconds start = last_start(choices, bins);
@@ -227,7 +229,7 @@
     if (gang && (choices.empty() || start > worth_looking_s)) {
       for (bool others : {false, true}) {
         if (others && !preempting) continue;
-        std::vector<Bin> seen = foresee(j, rooms, others);
+        std::vector<Bin> seen = foresee(j, rooms, others, clock);
         auto better = choose(j.spec, tasks, seen, by_zone);
         if (better.empty() || (!choices.empty() && last_start(better, seen) + leave_s > start)) continue;
         choices = std::move(better);
@@ -235,11 +237,11 @@
         bins = std::move(seen);
       }
     } else if (choices.size() < tasks.size() && preempting) {
-      std::vector<Bin> seen = foresee(j, rooms, false);
+      std::vector<Bin> seen = foresee(j, rooms, false, clock);
       std::size_t soon = choose(j.spec, tasks, seen, by_zone).size();
-      seen = foresee(j, rooms, true);
+      seen = foresee(j, rooms, true, clock);
       auto more = choose(j.spec, tasks, seen, by_zone);
-      if (more.size() > soon) make_room(j, more, seen, clock.now);
+      if (more.size() > soon) make_room(j, more, seen, clock);
     }
     if (choices.empty()) {
       if (gang && !j.placed.empty()) let_go_if_stranded(j, clock.now);
@@ -250,7 +252,7 @@
     // ask for them before a long fetch begins.
     bool look_first = gang && j.spec.rank >= Rank::high && start > worth_looking_s && j.placed.empty() &&
                       model_.settings.op.preempt && clock.now - j.first_seen < leader_looks_s;
-    if (gang && preempting && !look_first) make_room(j, choices, bins, clock.now);
+    if (gang && preempting && !look_first) make_room(j, choices, bins, clock);
     left -= static_cast<double>(choices.size()) * j.spec.need;
     std::vector<Choice> here;
     for (const Choice& c : choices) {
--- /dev/null
+++ b/src/core/promise.cpp
@@ -0,0 +1,61 @@
+#include "oxbowmill/core/promise.h"
+
+namespace oxbowmill {
+
+namespace {
+// Of the time within which a job is to begin: with two fifths of it left it is first in its rank, with a fifth it
+// goes before other ranks.
+constexpr double pressing_share = 0.4, lifted_share = 0.2;
+// A machine may fetch a third slower than its type says, and several images at a time.
+constexpr double slow_fetch = 1.5;
+
+Seconds longest_fetch(const Model& model, const JobSpec& spec) {
+  Seconds fetch = 0;
+  for (std::uint32_t t = 0; t < model.catalog.size(); ++t) {
+    const MachineType& type = model.catalog[t];
+    if (spec.allows(TypeIndex{t}) && type.fetch_gb_per_s > 0)
+      fetch = std::max(fetch, slow_fetch * spec.image_gb / type.fetch_gb_per_s);
+  }
+  return fetch;
+}
+
+}  // namespace
+
+const char* name_of(Promise p) {
+  static constexpr const char* names[] = {"ample", "pressing", "lifted"};
+  return names[static_cast<int>(p)];
+}
+
+Seconds promise_slack(const Model& model, const JobSpec& spec, double wall) {
+  const Settings& s = model.settings;
+  if (s.op.begin_within_s <= 0) return std::numeric_limits<double>::infinity();
+  return spec.submitted_at + s.op.begin_within_s - longest_fetch(model, spec) - 2 * s.report_s - wall;
+}
+
+Promise promise_of(const Model& model, const JobSpec& spec, double wall) {
+  Seconds slack = promise_slack(model, spec, wall);
+  double within = model.settings.op.begin_within_s;
+  return slack < lifted_share * within     ? Promise::lifted
+         : slack < pressing_share * within ? Promise::pressing
+                                           : Promise::ample;
+}
+
+bool waits_to_begin(const Job& j) {
+  for (std::uint32_t w = 0; w < j.busy.size(); ++w) {
+    std::uint32_t tasks = std::min<std::uint32_t>(64, j.spec.tasks - 64 * w);
+    std::uint64_t all = tasks == 64 ? ~0ULL : (1ULL << tasks) - 1;
+    std::uint64_t begun = w < j.begun.size() ? j.begun[w] : 0;
+    if ((all & ~j.busy[w] & ~begun) != 0) return true;
+  }
+  return false;
+}
+
+bool may_be_stopped(const Model& model, const Job& j, const Placement& p, Clock clock) {
+  if (j.has_begun(p.task) || p.has_begun(clock.now)) return true;
+  // Who is not its owner hears no reports: it has begun when it should have.
+  if (clock.now - p.known_at > begun_after_s + longest_fetch(model, j.spec) + 2 * model.settings.report_s)
+    return true;
+  return promise_of(model, j.spec, clock.wall) == Promise::ample;
+}
+
+}  // namespace oxbowmill
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -379,7 +379,7 @@
   bool waiting_cheap = false, waiting_other = false;
   for (JobIndex ji : model_.live_jobs(part)) {
     const Job& j = model_.job(ji);
-    if (j.pending() == 0) continue;
+    if (model_.placeable(ji) == 0) continue;
     waiting_cheap = waiting_cheap || j.spec.spot;
     waiting_other = waiting_other || !j.spec.spot || j.spec.shape != Shape::array;
   }
@@ -612,6 +612,10 @@
     txn.changes.push_back({ChunkKey{ji, c}, rec});
   }
   for (MachineIndex m : machines) txn.guards.push_back({MachineKey{m}, model_.machine(m).stamp});
+  // Nothing is placed on a decision that has changed since.
+  if (!written.empty()) {
+    for (Guard& g : model_.advice(ji).guards) txn.guards.push_back(std::move(g));
+  }
   bool all_done = j.phase == JobPhase::open && done == j.spec.tasks;
   JobPhase phase = all_done ? JobPhase::done : j.phase;
   if (all_done || cleanup) {
@@ -719,6 +723,10 @@
     if (!owns(part)) continue;
     if (part == pool_part) continue;
     if (check_slow) find_slow(part, clock.now);
+    for (TaskId id : model_.counsel != nullptr ? model_.counsel->unwanted(part) : std::vector<TaskId>{}) {
+      if (Placement* unwanted = model_.find_placement(id))
+        stop(*unwanted, model_.job(id.job).spec.flush_s, clock.now);
+    }
     place(part, clock, check_machines, planned);
   }
   while (!marks_due_.empty() && marks_due_.begin()->first <= clock.now) {
--- a/src/lab/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -61,6 +61,25 @@
   fleet.set_gate(start.get());
 }
 
+void Controller::agree(release::Calendar calendar, models::Settings models) {
+  accord = std::make_unique<accord::Desk>(model, scheduler, 0.05);
+  planner = std::make_unique<release::Planner>(model, *accord, scheduler, 1.0);
+  planner->load(std::move(calendar));
+  planner->ask = [this](const std::string& ref) {
+    auto it = state_.keys().find(state::final_key(ref));
+    if (state_.outage()) return planner->on_no_answer(ref);
+    planner->on_final(ref, it == state_.keys().end() ? std::nullopt : state::read_phase(it->second.value),
+                      asked_at_);
+  };
+  council_ = accord::Council();
+  council_.add(planner.get());
+  if (!models.empty()) {
+    keeper = std::make_unique<models::Keeper>(model, *accord, scheduler, std::move(models));
+    council_.add(keeper.get());
+  }
+  model.counsel = &council_;
+}
+
 ReportAnswer Controller::hear(const WorkerReport& r, double now) {
   if (start && hold.authority(now) == Authority::full) {
     scheduler.notice_takeovers(now);
@@ -112,6 +131,10 @@
 
 Effects Controller::decide(double now) {
   Effects out;
+  asked_at_ = now;
+  bool full = hold.authority(now) == Authority::full;
+  if (full && planner) planner->pass({now, now}, out);
+  if (full && keeper) keeper->pass({now, now}, out);
   scheduler.pass({now, now}, out);
   if (hold.authority(now) != Authority::full) return out;
   if (start) start->pass(now);
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -35,6 +35,7 @@
       store_(base, config_.state, model_.settings, &Node::now),
       mirror_(base, store_, model_, scheduler_, hold_, &Node::now),
       intake_(store_, model_, &Node::now, &Node::wall),
+      agreements_(model_, scheduler_, store_, config_, &Node::now),
       cloud_(base, config_.cloud, 3),
       cloud_bucket_(model_.settings.cloud_rps * 0.8, model_.settings.cloud_rps),
       tick_(base, [this] { tick(); }),
@@ -316,6 +317,7 @@
   if (!mirror_.live()) return;
   Effects out;
   model_.wall_ahead = wall() - now();
+  if (hold_.authority(now()) == Authority::full) agreements_.pass(clock(), out);
   scheduler_.pass(clock(), out);
   if (hold_.authority(now()) == Authority::full) {
     if (start_) start_->pass(now());
--- a/src/state/keys.cpp
+++ b/src/state/keys.cpp
@@ -104,6 +104,38 @@
   return c;
 }
 
+std::uint64_t whole(const Json& j, const char* key) {
+  auto it = j.find(key);
+  return it != j.end() && it->is_number_integer() ? it->get<std::uint64_t>() : 0;
+}
+
+std::optional<Change> decode_agreed(const std::string& name, const Json* value) {
+  Change c;
+  c.key = AgreedKey{name};
+  if (value == nullptr) return c;
+  AgreedRecord r;
+  r.state = text(*value, "s");
+  r.serial = whole(*value, "n");
+  r.version = whole(*value, "v");
+  r.epoch = whole(*value, "e");
+  r.at = number(*value, "at");
+  r.why = text(*value, "why");
+  if (r.state.empty() || r.serial == 0) return std::nullopt;
+  auto counts = value->find("c"), notes = value->find("t");
+  if (counts != value->end() && counts->is_object()) {
+    for (const auto& [k, n] : counts->items()) {
+      if (n.is_number_integer()) r.counts[k] = n.get<std::uint64_t>();
+    }
+  }
+  if (notes != value->end() && notes->is_object()) {
+    for (const auto& [k, t] : notes->items()) {
+      if (t.is_string()) r.notes[k] = t.get<std::string>();
+    }
+  }
+  c.value = std::move(r);
+  return c;
+}
+
 }  // namespace
 
 std::string job_key(const std::string& ref) {
@@ -127,6 +159,7 @@
     std::string operator()(const BidKey& k) { return "o/b/" + k.name; }
     std::string operator()(const LedgerKey&) { return "o/l/ledger"; }
     std::string operator()(const MarketKey& k) { return "o/q/" + m.names.markets.name(k.market); }
+    std::string operator()(const AgreedKey& k) { return "o/d/" + k.name; }
   };
   return std::visit(Visitor{model}, key);
 }
@@ -199,6 +232,15 @@
       if (r.shut) j["shut"] = r.why;
       return j;
     }
+    Json operator()(const AgreedRecord& r) {
+      Json j = {{"s", r.state}, {"n", r.serial}, {"at", r.at}};
+      if (r.version != 0) j["v"] = r.version;
+      if (r.epoch != 0) j["e"] = r.epoch;
+      if (!r.why.empty()) j["why"] = r.why;
+      if (!r.counts.empty()) j["c"] = r.counts;
+      if (!r.notes.empty()) j["t"] = r.notes;
+      return j;
+    }
   };
   return std::visit(Visitor{model}, change.value);
 }
@@ -287,6 +329,8 @@
     case 'l':
     case 'q':
       return decode_money(key[2], rest, value, model);
+    case 'd':
+      return decode_agreed(rest, value);
     case 'p': {
       PartIndex p = model.names.parts.find(rest);
       if (!p.valid()) return std::nullopt;
