--- a/src/lab/state.cpp
+++ b/src/lab/state.cpp
@@ -57,6 +57,7 @@
 }
 
 void State::end_hold(std::uint64_t id) {
+  if (id == 0) return;  // keys without a hold have this number
   holds_.erase(id);
   std::vector<std::string> keys;
   for (const auto& [key, e] : keys_) {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -244,6 +244,57 @@
   EXPECT_FALSE(config::load(write("good.toml", good), {}).markets.enabled());
 }
 
+TEST_F(Config, CalendarAndModelsAreReadStrictly) {
+  const std::string calendar =
+      "calendar:\n  version: 3\n  releases:\n    - name: manual\n      revision: r1\n      editions:\n"
+      "        ar: {render: [{class: c, image: i, count: 2}, run-7], publish: run-1}\n"
+      "        fr: {render: [run-8], publish: run-2}\n"
+      "      when: {zone: Africa/Tunis, weekly: [mon], at: \"06:30\", window_s: 600}\n";
+  const std::string models = "models:\n  list:\n    - {name: chat, class: serve, calls: [call], most: 4}\n";
+  std::string toml = write("good.toml", good);
+  auto c = config::load(toml, {write("calendar.yaml", calendar), write("models.yaml", models)});
+  ASSERT_EQ(c.calendar.releases.size(), 1U);
+  EXPECT_EQ(c.calendar.releases[0].editions[0].renders[0].count, 2U);
+  EXPECT_EQ(c.calendar.releases[0].when->second_of_day, 6 * 3600U + 30 * 60);
+  EXPECT_EQ(c.models.models.at(0).most, 4U);
+  EXPECT_DOUBLE_EQ(c.skew_s, 0.1);
+  struct Case {
+    const std::string& of;
+    const char *from, *to, *error;
+  };
+  const Case cases[] = {
+      {calendar, "version: 3", "versoin: 3", "calendar.version: missing"},
+      {calendar, "revision: r1", "", "calendar.releases[0].revision: missing"},
+      {calendar, "count: 2", "cuont: 2", "calendar.releases[0].editions.ar.render[0].cuont: unknown setting"},
+      {calendar, "publish: run-2", "publish: run-1", "calendar.releases[0].editions: two publish by the same job"},
+      {calendar, "        fr: {render: [run-8], publish: run-2}\n", "",
+       "calendar.releases[0].editions: a release pairs two or more"},
+      {calendar, "zone: Africa/Tunis", "zone: Africa/Carthage", "calendar.releases[0].when.zone: no such time zone"},
+      {calendar, "[mon]", "[moonday]", "calendar.releases[0].when.weekly: not a day of the week"},
+      {calendar, "\"06:30\"", "\"26:30\"", "calendar.releases[0].when.at: not a time of day"},
+      {models, "calls: [call]", "clals: [call]", "models.list[0].calls: missing"},
+      {models, "most: 4", "least: 5, most: 4", "models.list[0].most: must be at least 1"},
+      {models, "class: serve, ", "", "models.list[0].class: missing"},
+  };
+  for (const Case& x : cases) {
+    std::string text = x.of;
+    std::size_t at = text.find(x.from);
+    ASSERT_NE(at, std::string::npos) << x.from;
+    std::string file = write("bad.yaml", text.replace(at, std::string(x.from).size(), x.to));
+    std::string e = error_of(toml, file);
+    EXPECT_EQ(e.rfind(file + ": " + x.error, 0), 0U) << x.to << " <- " << e;
+  }
+}
+
+TEST_F(Config, ShippedCalendarAndModelsAreValid) {
+  auto c = config::load(write("good.toml", good),
+                        {std::string(DEPLOY_DIR) + "/calendar.yaml", std::string(DEPLOY_DIR) + "/models.yaml"});
+  EXPECT_EQ(c.calendar.releases.size(), 1U);
+  EXPECT_EQ(c.models.models.size(), 1U);
+  auto none = config::load(write("good.toml", good), {std::string(DEPLOY_DIR) + "/operator.yaml"});
+  EXPECT_TRUE(none.calendar.empty() && none.models.empty());
+}
+
 TEST_F(Config, ShippedOperatorsFileIsValidAndNamesTheDefaults) {
   auto op = operators(std::string(DEPLOY_DIR) + "/operator.yaml");
   OperatorSettings defaults;
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -416,6 +416,52 @@
   EXPECT_TRUE(log_.twice.empty());
 }
 
+TEST_F(Loopback, ProgramHoldsAPairThroughAKillAndReadsItsCalendarAgain) {
+  operators_ = ::testing::TempDir() + "oxbowmill-loop-" + std::to_string(::getpid()) + ".yaml";
+  auto calendar = [this](int version, const std::string& french) {
+    std::ofstream(operators_) << "calendar:\n  version: " << version
+                              << "\n  releases:\n    - name: manual\n      revision: r1\n      editions:\n"
+                                 "        ar: {render: [run-1], publish: run-3}\n        fr: {render: ["
+                              << french << "], publish: run-4}\n";
+  };
+  calendar(1, "run-2");
+  start_program();
+  int status = 0;
+  bool asking = false;
+  auto submit = [&](const std::string& ref) {
+    status = 0;
+    until([&] { return status == 201; },
+          [&] {
+            if (asking) return;
+            asking = true;
+            request(EVHTTP_REQ_POST, "/submissions", [&] {
+              Json j = submission(ref);
+              j["shards"] = 1;
+              j["accelerators"] = 0.0;
+              return j;
+            }(), [&](int s, const Json&) {
+              asking = false;
+              status = s;
+            });
+          });
+  };
+  for (const char* ref : {"run-3", "run-4", "run-1"}) submit(ref);
+  until([&] { return worker_.has("run-1/0"); }, [] {});
+  worker_.finish("run-1/0", EndCause::done);
+  until([&] { return state_.keys().count("f/run-1") != 0; }, [] {});
+  stop_program();
+  start_program();
+  // The French edition is rendered by another job than the file said.
+  calendar(2, "run-5");
+  kill(pid_, SIGHUP);
+  submit("run-5");
+  until([&] { return worker_.has("run-5/0"); }, [] {});
+  EXPECT_EQ(log_.starts["run-3/0"] + log_.starts["run-4/0"], 0);
+  worker_.finish("run-5/0", EndCause::done);
+  until([&] { return worker_.has("run-3/0") && worker_.has("run-4/0"); }, [] {});
+  EXPECT_EQ(state_.keys().at("o/d/release/manual").value.at("s"), "decided");
+}
+
 TEST_F(Loopback, SocketsBeyondTheLimitAreNotKeptAlive) {
   for (int limit : {1 << 20, 0}) {
     net::HttpServer server(base_.get(), {"127.0.0.1", 0}, 1024,
