Saved progress is tracked beside placements; clocks and finished times survive a takeover

Need: after a zone is lost, work resumes from its last saved point, but a new owner knew neither what was saved nor what finished tasks took, and its clocks began anew. Change: src/progress (bounds from what was seen running, the slowest and fastest plausible speed, stored), optional fields in the chunk's record (since when placed, saved, finishes), written only with changes that go anyway; order and leaving rate by what is still needed; the detector counts what was saved before.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -46,6 +46,9 @@
   Seconds started_at = 0;  // first start order by this owner, or takeover
   Seconds running_at = -1;
   Seconds known_at = 0;  // record first seen by this node
+  Seconds ran_until = -1;   // last report that showed it running
+  double placed_at_s = -1;  // since its job came, by whoever placed it; below 0: not known
+  bool stored = false;      // its worker said so as it stopped
   /// Runs for so long that its start counts, whatever becomes of it.
   bool has_begun(Seconds now) const { return running_at >= 0 && now - running_at >= begun_after_s; }
 };
@@ -55,6 +58,7 @@
 struct Chunk {
   Stamp stamp = 0;
   std::uint64_t done = 0, restarted = 0;
+  std::vector<progress::Finish> finishes;
 };
 
 struct Job {
@@ -83,6 +87,16 @@
   Seconds first_seen = 0;
   std::vector<double> finished_times;  // the detector's: in order of finishing
   double baseline = -1;
+  std::map<TaskNo, progress::Saved> saved;         // what tasks go on from; of a gang under task 0
+  Attempt saved_attempt = 0;                       // of a gang: whose progress is counted already
+  progress::Saved saved_before;                    // and what it began from
+  std::map<TaskNo, progress::Finish> finished_as;  // not in a record yet
+  progress::Saved saved_of(TaskNo t) const {
+    auto it = saved.find(spec.shape == Shape::gang ? 0 : t);
+    return it == saved.end() ? progress::Saved() : it->second;
+  }
+  /// Run time that its tasks without a machine still need, one with another, by the owner's estimate.
+  Seconds remaining_s() const;
   bool final_phase() const { return phase != JobPhase::open; }
   bool has_begun(TaskNo t) const {
     return t / 64 < begun.size() && (begun[t / 64] >> (t % 64) & 1) != 0;
@@ -240,6 +254,8 @@
   void apply_chunk(const ChunkKey& key, const ChunkRecord* rec, Stamp stamp, Seconds now);
   void apply_money(const Change& change, Stamp stamp);
   void apply_machine(MachineIndex m, const MachineRecord* rec, Stamp stamp, Seconds now);
+  /// A task has left its machine: what it can go on from.
+  void note_saved(const Placement& p, Seconds now);
   void add_placement(Job& j, const PlacedTask& p, JobIndex index, Seconds now);
   /// Room and quota that a task takes up, from its placement until it is proved to be off.
   void occupy(const Job& j, const Placement& p, int sign);
--- a/include/oxbowmill/core/records.h
+++ b/include/oxbowmill/core/records.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "oxbowmill/core/types.h"
+#include "oxbowmill/progress/saved.h"
 
 namespace oxbowmill {
 
@@ -17,12 +18,16 @@
   MachineIndex machine;
   Attempt attempt = 0;
   bool restarting = false;  // stopped as slow; the mark is durable before the stop is sent
+  double at_s = -1;         // when it was placed, since its job came; below 0: not known
 };
 
 struct ChunkRecord {
   std::uint64_t done = 0;       // bit per task
   std::uint64_t restarted = 0;  // bit per task: has had its one restart
   std::vector<PlacedTask> placed;
+  // Optional: what tasks go on from, of a gang under its first; and what finished ones took.
+  std::map<TaskNo, progress::Saved> saved;
+  std::vector<progress::Finish> finishes;
 };
 
 struct JobRecord {
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "oxbowmill/core/types.h"
+#include "oxbowmill/progress/saved.h"
 
 namespace oxbowmill {
 
@@ -61,6 +62,7 @@
   std::vector<double> deadline_multiples;  // of a job's deadline, as the users' aims name them; ascending
   double cloud_rps = 2, list_lag_s = 4;
   OperatorSettings op;
+  progress::Settings progress;
 
   // Derived; see docs/design.md, "Time".
   static constexpr double drift = 0.0005;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -360,6 +360,13 @@
     if (!config.models.empty()) m.fail("models", "set in two files");
     read_models(m.sub("models", *n), config.models);
   }
+  if (auto n = m.take("progress")) {
+    yaml::Map p = m.sub("progress", *n);
+    config.settings.progress.enabled = true;
+    p.number("slowest_speed", config.settings.progress.slowest, 0.001, 1);
+    p.number("fastest_speed", config.settings.progress.fastest, 1, 100);
+    p.done();
+  }
   if (auto n = m.take("recovery")) read_recovery(m.sub("recovery", *n), config.recovery);
   m.done();
 }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -134,6 +134,7 @@
   // The room is free from the proof on: the record may follow when it is convenient.
   if (is_off(s) != is_off(p.state)) occupy(job(p.job), p, is_off(s) ? -1 : 1);
   p.state = s;
+  if (s == PlacementState::gone) note_saved(p, now);
   if (s >= PlacementState::stopping && p.has_begun(now)) {
     Job& j = job(p.job);
     j.begun.resize(j.busy.size());
@@ -147,6 +148,42 @@
   if (is_off(s)) dirty.insert(p.job);
 }
 
+void Model::note_saved(const Placement& p, Seconds now) {
+  Job& j = job(p.job);
+  if (!settings.progress.enabled || j.spec.save_every_s <= 0 || p.running_at < 0) return;
+  // A gang's progress is one, and every member tells of it: the same attempt counts once.
+  TaskNo of = j.spec.shape == Shape::gang ? 0 : p.task;
+  if (j.spec.shape == Shape::gang) {
+    if (j.saved_attempt == p.attempt) {
+      if (p.stored)
+        j.saved[of] = progress::merged(j.saved[of], progress::after_store(j.saved_before, {p.ran_until - p.running_at, now - p.started_at},
+                                                         j.spec.save_every_s, settings.progress));
+      return;
+    }
+    j.saved_attempt = p.attempt;
+    j.saved_before = j.saved_of(0);
+  }
+  progress::Saved before = j.saved_of(p.task);
+  progress::Ran ran{p.ran_until - p.running_at, now - p.started_at};
+  auto after = p.stored ? progress::after_store(before, ran, j.spec.save_every_s, settings.progress)
+                        : progress::after_loss(before, ran, j.spec.save_every_s, settings.progress);
+  j.saved[of] = progress::merged(before, after);
+}
+
+Seconds Job::remaining_s() const {
+  if (saved.empty() || spec.tasks == 0) return spec.estimate_s;
+  if (spec.shape == Shape::gang) return progress::remaining(spec.estimate_s, saved_of(0));
+  double sum = 0;
+  std::uint32_t n = 0;
+  for (const auto& [t, s] : saved) {
+    if (placed.count(t) != 0 || t / 64 >= busy.size() || (busy[t / 64] >> (t % 64) & 1) != 0) continue;
+    sum += progress::remaining(spec.estimate_s, s);
+    ++n;
+  }
+  std::uint32_t waiting = std::max(pending(), n);
+  return waiting == 0 ? spec.estimate_s : (sum + (waiting - n) * spec.estimate_s) / waiting;
+}
+
 void Model::set_state(MachineIndex i, MachineState s, Seconds now) {
   Machine& m = machine(i);
   if (m.state == s) return;
@@ -195,6 +232,7 @@
   p.attempt = t.attempt;
   p.restarting = t.restarting;
   p.known_at = now;
+  p.placed_at_s = t.at_s;
   j.placed.emplace(t.task, p);
   Machine& m = machine(t.machine);
   m.on.push_back({index, t.task});
@@ -369,7 +407,8 @@
   if (rec != nullptr) {
     j.done += static_cast<std::uint32_t>(__builtin_popcountll(r.done)) -
               static_cast<std::uint32_t>(__builtin_popcountll(c.done));
-    c = {stamp, r.done, r.restarted};
+    c = {stamp, r.done, r.restarted, r.finishes};
+    for (const auto& [t, s] : r.saved) j.saved[t] = progress::merged(j.saved[t], s);
     if (key.chunk < j.busy.size()) {
       j.busy[key.chunk] = busy;
       j.scan_from = std::min(j.scan_from, key.chunk);
@@ -447,6 +486,15 @@
       if (p == nullptr) continue;
       p->taken_over = true;
       p->started_at = now;
+      // Its predecessor's clock goes on where the record tells when it was placed: a little late, since the
+      // start order followed later and clocks differ. (Begun anew, what takes over flags later than an unbroken
+      // owner, and what then finishes would count as short, and flag others too early.)
+      double since = job(id.job).spec.submitted_at;
+      if (settings.progress.enabled && p->placed_at_s >= 0 && wall_ahead != 0 && since > 0) {
+        double late = settings.report_s + late_reading_s;
+        double elapsed = now + wall_ahead - since - p->placed_at_s - late;
+        p->started_at = std::max(1e-3, now - std::max(0.0, elapsed));
+      }
       p->sent_serial = p->sent_tenure = 0;
       p->want_restart = false;
       // What this node knew from an earlier term is void: an owner in between may have started it again.
@@ -457,6 +505,15 @@
   }
   for (JobIndex ji : live_[part.v]) {
     dirty.insert(ji);
+    if (settings.progress.enabled) {
+      Job& j = job(ji);
+      std::vector<progress::Finish> finishes;
+      for (const auto& [c, chunk] : j.chunks)
+        finishes.insert(finishes.end(), chunk.finishes.begin(), chunk.finishes.end());
+      j.finished_times = progress::in_order(std::move(finishes));
+      j.baseline = -1;
+      j.finished_as.clear();
+    }
     // A placement is written only beside its machine's record, and the record goes only once the machine is
     // gone for certain. The earlier owner knew that but may have ended before it wrote so: without this the
     // task would wait for ever for a machine that nobody can hear or delete.
--- a/src/core/order.cpp
+++ b/src/core/order.cpp
@@ -37,7 +37,8 @@
   for (JobIndex ji : model.live_jobs(part)) {
     const Job& j = model.job(ji);
     if (j.placed.empty() || j.spec.estimate_s <= 0) continue;
-    rate += static_cast<double>(j.placed.size()) * j.share / (j.spec.estimate_s + start_margin_s);
+    for (const auto& [t, p] : j.placed)
+      rate += j.share / (progress::remaining(j.spec.estimate_s, j.saved_of(t)) + start_margin_s);
   }
   return rate;
 }
@@ -105,7 +106,8 @@
     const Job& j = model.job(ji);
     if (model.placeable(ji) == 0) continue;
     if (j.spec.shape == Shape::gang && !gang_may_be_placed(j)) continue;
-    double since = j.spec.submitted_at - model.advice(ji).pull_s;
+    // What was saved before its machines were lost is worth its place: those nearest their end go on first.
+    double since = j.spec.submitted_at - model.advice(ji).pull_s - (j.spec.estimate_s - j.remaining_s());
     Entry e{-static_cast<int>(j.spec.rank), 1, since, since, ji};
     (j.spec.deadline_s < 0 ? entries : due).push_back(e);
   }
@@ -121,7 +123,7 @@
       for (Entry& e : due) {
         const JobSpec& s = model.job(e.job).spec;
         if (e.tier < 0)
-          e.key = s.submitted_at + times * s.deadline_s - clock.wall - s.estimate_s - start_margin_s;
+          e.key = s.submitted_at + times * s.deadline_s - clock.wall - model.job(e.job).remaining_s() - start_margin_s;
         jobs.push_back({e.key, model.job(e.job).pending() * model.job(e.job).share});
       }
       auto given_up = give_up_late(jobs, rate);
@@ -132,7 +134,7 @@
     for (Entry& e : due) {
       if (e.tier == 0) continue;
       e.tier = 2;
-      e.key = -model.job(e.job).spec.estimate_s;
+      e.key = -model.job(e.job).remaining_s();
     }
     entries.insert(entries.end(), due.begin(), due.end());
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -226,6 +226,7 @@
       if (t->phase == TaskPhase::ended) {
         task_ended(p, *t, m, now);
       } else {
+        if (t->phase == TaskPhase::running) p.ran_until = now;
         if (t->phase == TaskPhase::running && p.running_at < 0) {
           p.running_at = now;
           SPDLOG_DEBUG("task {}/{} runs on {}, {:.1f} s after its start order", ref, p.task, r.machine,
@@ -247,6 +248,7 @@
       model_.set_state(p, PlacementState::gone, now);
     } else {
       p.taken_over = false;  // placed by an earlier owner, never started: it may be started now
+      p.started_at = 0;
     }
   }
   bool all_off = !m.on.empty();
@@ -262,11 +264,17 @@
 void Scheduler::task_ended(Placement& p, const TaskReport& t, Machine& m, Seconds now) {
   Job& j = model_.job(p.job);
   p.cause = t.cause;
+  p.stored = t.saved;
   SPDLOG_DEBUG("task {}/{} ended on {}: {}", j.spec.ref, p.task, model_.names.machines.name(p.machine),
                name_of(t.cause));
   if (t.cause == EndCause::done) {
     j.errors = 0;
-    if (j.spec.shape == Shape::array) j.finished_times.push_back(now - p.started_at);
+    if (j.spec.shape == Shape::array) {
+      double took = progress::execution_time(now - p.started_at, j.saved_of(p.task));
+      j.finished_times.push_back(took);
+      if (model_.settings.progress.enabled && model_.wall_ahead != 0)
+        j.finished_as[p.task] = {p.task, took, now + model_.wall_ahead - j.spec.submitted_at};
+    }
     model_.set_state(p, PlacementState::finished, now);
     return;
   }
@@ -584,6 +592,7 @@
     if (chunk != j.chunks.end()) {
       rec.done = chunk->second.done;
       rec.restarted = chunk->second.restarted;
+      rec.finishes = chunk->second.finishes;
       stamp = chunk->second.stamp;
     }
     auto bit = [](TaskNo t) { return 1ULL << (t % chunk_tasks); };
@@ -593,21 +602,29 @@
       bool restarting = p.restarting || p.want_restart;
       if (p.state == PlacementState::finished) {
         if ((rec.done & bit(p.task)) == 0) ++done;
+        auto as = j.finished_as.find(p.task);
+        if (as != j.finished_as.end()) rec.finishes.push_back(as->second);
         rec.done |= bit(p.task);
         released.push_back({p.machine, p.task, p.attempt});
       } else if (p.state == PlacementState::gone) {
         if (p.cause != EndCause::none) released.push_back({p.machine, p.task, p.attempt});
       } else {
-        rec.placed.push_back({p.task, p.machine, p.attempt, restarting});
+        rec.placed.push_back({p.task, p.machine, p.attempt, restarting, p.placed_at_s});
       }
       if (restarting) rec.restarted |= bit(p.task);
     }
     for (const PlacedTask& t : planned) {
       if (t.task / chunk_tasks != c || j.phase != JobPhase::open) continue;
       rec.placed.push_back(t);
+      if (model_.settings.progress.enabled && model_.wall_ahead != 0)
+        rec.placed.back().at_s = std::max(0.0, now + model_.wall_ahead - j.spec.submitted_at);
       machines.insert(t.machine);
       written.push_back(t);
     }
+    for (auto it = j.saved.lower_bound(c * chunk_tasks); it != j.saved.end() && it->first < (c + 1) * chunk_tasks;
+         ++it) {
+      if ((rec.done & bit(it->first)) == 0 && it->second.any()) rec.saved.insert(*it);
+    }
     txn.guards.push_back({ChunkKey{ji, c}, stamp});
     txn.changes.push_back({ChunkKey{ji, c}, rec});
   }
--- a/src/state/keys.cpp
+++ b/src/state/keys.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/state/keys.h"
 
+#include <algorithm>
+#include <cmath>
 #include <cstdlib>
 
 namespace oxbowmill::state {
@@ -185,10 +187,24 @@
     Json operator()(const ChunkRecord& r) {
       Json placed = Json::array();
       for (const PlacedTask& t : r.placed) {
-        placed.push_back(
-            Json::array({t.task, m.names.machines.name(t.machine), t.attempt, t.restarting ? 1 : 0}));
+        Json one = Json::array({t.task, m.names.machines.name(t.machine), t.attempt, t.restarting ? 1 : 0});
+        if (t.at_s >= 0) one.push_back(static_cast<std::int64_t>(t.at_s));
+        placed.push_back(std::move(one));
       }
-      return {{"d", hex(r.done)}, {"r", hex(r.restarted)}, {"a", placed}};
+      Json j = {{"d", hex(r.done)}, {"r", hex(r.restarted)}, {"a", placed}};
+      // Optional, rounded so that neither bound gets better than it was.
+      for (const auto& [t, s] : r.saved)
+        j["s"].push_back({t, std::floor(s.low), std::floor(s.likely), std::ceil(s.high)});
+      for (const progress::Finish& f : r.finishes)
+        j["t"].push_back({f.task, std::round(10 * f.run_s) / 10, std::floor(f.at_s)});
+      // A hint must not cost a placement its record.
+      constexpr std::size_t surely_fits = 24;
+      if (r.placed.size() + r.saved.size() + r.finishes.size() > surely_fits) {
+        for (const char* hint : {"t", "s"}) {
+          if (static_cast<double>(j.dump().size()) > m.settings.value_kb * 1024) j.erase(hint);
+        }
+      }
+      return j;
     }
     Json operator()(const MachineRecord& r) {
       Json j = {{"part", m.names.parts.name(r.part)},
@@ -300,8 +316,24 @@
           return std::nullopt;
         }
         rec.placed.push_back({t[0].get<TaskNo>(), model.intern_machine(t[1].get<std::string>()),
-                              t[2].get<Attempt>(), t[3].get<int>() != 0});
+                              t[2].get<Attempt>(), t[3].get<int>() != 0,
+                              t.size() > 4 && t[4].is_number() ? t[4].get<double>() : -1});
       }
+      auto rows = [&value](const char* key, std::size_t size, auto&& take) {
+        auto list = value->find(key);
+        if (list == value->end() || !list->is_array()) return;
+        for (const Json& x : *list) {
+          bool numbers = x.is_array() && x.size() >= size &&
+                         std::all_of(x.begin(), x.end(), [](const Json& n) { return n.is_number(); });
+          if (numbers) take(x);
+        }
+      };
+      rows("s", 4, [&rec](const Json& x) {
+        rec.saved[x[0].get<TaskNo>()] = {x[1].get<double>(), x[2].get<double>(), x[3].get<double>()};
+      });
+      rows("t", 3, [&rec](const Json& x) {
+        rec.finishes.push_back({x[0].get<TaskNo>(), x[1].get<double>(), x[2].get<double>()});
+      });
       c.key = ChunkKey{model.intern_job(ref), chunk};
       c.value = std::move(rec);
       return c;
