--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -47,6 +47,7 @@
   Seconds running_at = -1;
   Seconds known_at = 0;  // record first seen by this node
   Seconds ran_until = -1;   // last report that showed it running
+  double ran_s = 0;         // between reports that did, close enough together for nothing to hang between them
   double placed_at_s = -1;  // since its job came, by whoever placed it; below 0: not known
   bool stored = false;      // its worker said so as it stopped
   /// Runs for so long that its start counts, whatever becomes of it.
@@ -89,7 +90,6 @@
   double baseline = -1;
   std::map<TaskNo, progress::Saved> saved;         // what tasks go on from; of a gang under task 0
   Attempt saved_attempt = 0;                       // of a gang: whose progress is counted already
-  progress::Saved saved_before;                    // and what it began from
   std::map<TaskNo, progress::Finish> finished_as;  // not in a record yet
   progress::Saved saved_of(TaskNo t) const {
     auto it = saved.find(spec.shape == Shape::gang ? 0 : t);
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -151,23 +151,18 @@
 void Model::note_saved(const Placement& p, Seconds now) {
   Job& j = job(p.job);
   if (!settings.progress.enabled || j.spec.save_every_s <= 0 || p.running_at < 0) return;
-  // A gang's progress is one, and every member tells of it: the same attempt counts once.
-  TaskNo of = j.spec.shape == Shape::gang ? 0 : p.task;
-  if (j.spec.shape == Shape::gang) {
-    if (j.saved_attempt == p.attempt) {
-      if (p.stored)
-        j.saved[of] = progress::merged(j.saved[of], progress::after_store(j.saved_before, {p.ran_until - p.running_at, now - p.started_at},
-                                                         j.spec.save_every_s, settings.progress));
-      return;
-    }
-    j.saved_attempt = p.attempt;
-    j.saved_before = j.saved_of(0);
-  }
+  bool gang = j.spec.shape == Shape::gang;
+  // A gang's progress is one. The first of an attempt to leave decides what is saved: once it has gone without
+  // a save, whatever another says it stored is of no use (PROTOCOL, "Gangs").
+  if (gang && j.saved_attempt == p.attempt) return;
+  j.saved_attempt = p.attempt;
+  progress::Ran ran{p.ran_s, now - p.started_at};
+  // Members run on, as far as reports tell, for a while after one is lost.
+  if (gang && !p.stored) ran.least = std::max(0.0, ran.least - settings.gang_peer_s - settings.report_s);
   progress::Saved before = j.saved_of(p.task);
-  progress::Ran ran{p.ran_until - p.running_at, now - p.started_at};
   auto after = p.stored ? progress::after_store(before, ran, j.spec.save_every_s, settings.progress)
                         : progress::after_loss(before, ran, j.spec.save_every_s, settings.progress);
-  j.saved[of] = progress::merged(before, after);
+  j.saved[gang ? 0 : p.task] = progress::merged(before, after);
 }
 
 Seconds Job::remaining_s() const {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -226,7 +226,12 @@
       if (t->phase == TaskPhase::ended) {
         task_ended(p, *t, m, now);
       } else {
-        if (t->phase == TaskPhase::running) p.ran_until = now;
+        if (t->phase == TaskPhase::running) {
+          // What was told to stop makes no more progress, and a machine that hung made none.
+          bool close = p.ran_until >= 0 && now - p.ran_until < 2 * model_.settings.report_s + 1;
+          if (close && p.state != PlacementState::stopping) p.ran_s += now - p.ran_until;
+          p.ran_until = now;
+        }
         if (t->phase == TaskPhase::running && p.running_at < 0) {
           p.running_at = now;
           SPDLOG_DEBUG("task {}/{} runs on {}, {:.1f} s after its start order", ref, p.task, r.machine,
