Promise: kept as late as room can be gathered; other fetches are seen; a guarantee goes before

Change: three steps (not stopped, first in its rank, before other ranks) at 0.4, 0.25 and 0.12 of the time left; pressed jobs count the fetches under way on a machine, and their slack a shared one; work within a guarantee may stop protected tasks.

--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -23,6 +23,7 @@
   bool lasting = false;  // services run there
   Seconds spoils_s = 0;  // what the place costs others, in seconds that the job in question gives up for it
   bool shut = false;     // not for the job in question
+  Seconds fetching_s = 0;  // fetches under way there, which a further one would share the rate with
 };
 
 /// The job fills machines with others' tasks beside its own, and ends by itself; cheap machines will do.
@@ -32,8 +33,9 @@
 
 /// How long a machine of this type takes to fetch the job's image.
 Seconds fetch_time(const JobSpec& spec, const MachineType& type);
-/// Fills in `start_s` and `spoils_s` for this job.
-void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins);
+/// Fills in `start_s` and `spoils_s` for this job; `pressed`: one that has to begin soon looks at what else is
+/// being fetched there as well.
+void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins, bool pressed = false);
 /// When the last of the chosen tasks could run.
 Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins);
 
--- a/include/oxbowmill/core/promise.h
+++ b/include/oxbowmill/core/promise.h
@@ -8,9 +8,10 @@
 
 /// How pressing it is that a task of a job is sent out that has not begun yet.
 enum class Promise : std::uint8_t {
-  ample,     // its turn comes by rank, deadline and age as ever
-  pressing,  // first in its rank, not stopped for others before it has begun
-  lifted,    // before other ranks as well, as far as `promise_share` goes
+  ample,      // its turn comes by rank, deadline and age as ever
+  protected_, // not stopped for others before it has begun
+  pressing,   // first in its rank as well
+  lifted,     // before other ranks as well, as far as `promise_share` goes
 };
 const char* name_of(Promise p);
 
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -150,6 +150,8 @@
     std::size_t real = 0;
   };
   Rooms rooms_of(PartIndex part, Seconds now) const;
+  /// How long the fetches under way on the machine still take, one after the other.
+  Seconds fetching_s(const Machine& m, Seconds now) const;
   /// The rooms as they are for this job, with what is being left and, if asked, what lower ranks would leave.
   std::vector<Bin> foresee(const Job& j, const Rooms& rooms, bool preempting, Clock clock) const;
   bool may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -320,7 +320,8 @@
         const Job* v = model_.live_job(id.job);
         may = may && v != nullptr && (v->spec.rank < j.spec.rank || beyond) &&
               v->spec.shape == Shape::array && v->spec.save_every_s > 0 &&
-              may_be_stopped(model_, *v, *model_.find_placement(id), clock);
+              // A guarantee is kept all the same.
+              (guaranteed || may_be_stopped(model_, *v, *model_.find_placement(id), clock));
       }
       if (!may) continue;
       bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, drain_s, model_.catalog[m.rec.type.v].room, 2});
--- a/src/core/order.cpp
+++ b/src/core/order.cpp
@@ -77,8 +77,10 @@
   for (Entry& e : entries) {
     const Job& j = model.job(e.job);
     e.promise = promise_of(model, j.spec, clock.wall);
-    if (e.promise != Promise::ample && !waits_to_begin(j)) e.promise = Promise::ample;
-    if (e.promise == Promise::ample) continue;
+    if (e.promise < Promise::pressing || !waits_to_begin(j)) {
+      e.promise = Promise::ample;
+      continue;
+    }
     e.tier = -1;
     e.key = promise_slack(model, j.spec, clock.wall);
     if (e.promise == Promise::lifted) lifted.push_back(&e);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -59,11 +59,11 @@
 
 }  // namespace
 
-void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins) {
+void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins, bool pressed) {
   for (Bin& b : bins) {
     bool there = b.machine.valid() && Model::has_image(model.machine(b.machine), spec.image);
     const MachineType& type = model.catalog[b.type.v];
-    b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, type));
+    b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, type) + (pressed ? b.fetching_s : 0));
     b.spoils_s = spoils(spec, type, b);
   }
 }
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -37,10 +37,25 @@
     if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
     bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
     bins.back().lasting = m.lasting > 0;
+    bins.back().fetching_s = fetching_s(m, now);
   }
   return bins;
 }
 
+Seconds Scheduler::fetching_s(const Machine& m, Seconds now) const {
+  std::map<ImageIndex, Seconds> left;
+  for (TaskId id : m.on) {
+    const Placement& p = *model_.find_placement(id);
+    const JobSpec& spec = model_.job(id.job).spec;
+    if (p.phase != TaskPhase::fetching || is_off(p.state) || !spec.image.valid()) continue;
+    Seconds since = p.started_at > 0 ? now - p.started_at : 0;
+    left[spec.image] = std::max(0.0, fetch_time(spec, model_.catalog[m.rec.type.v]) - since);
+  }
+  Seconds sum = 0;
+  for (const auto& [image, s] : left) sum += s;
+  return sum;
+}
+
 Scheduler::Rooms Scheduler::rooms_of(PartIndex part, Seconds now) const {
   const Settings& s = model_.settings;
   Rooms rooms;
@@ -218,7 +233,7 @@
     auto by_zone = tasks_by_zone(model_, j);
     bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
     std::vector<Bin> bins = rooms.bins;
-    see_as(j.spec, model_, bins);
+    see_as(j.spec, model_, bins, waiting.promise != Promise::ample);
     if (spare_whole && waiting.promise == Promise::ample) tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
     if (tasks.empty()) continue;
     auto choices = choose(j.spec, tasks, bins, by_zone);
@@ -260,6 +275,8 @@
       if (there) here.push_back(c);
       bool held = there || (look_first && fits(j.spec.need, rooms.bins[c.bin].room));
       (held ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
+      // Its fetch, which those behind it would share.
+      if (there && bins[c.bin].start_s > 0) rooms.bins[c.bin].fetching_s += bins[c.bin].start_s;
       if (there && j.spec.shape == Shape::service) rooms.bins[c.bin].lasting = true;
     }
     // Machines that come one by one would cost a change each: what is there is held, and written together.
--- a/src/core/promise.cpp
+++ b/src/core/promise.cpp
@@ -3,18 +3,21 @@
 namespace oxbowmill {
 
 namespace {
-// Of the time within which a job is to begin: with two fifths of it left it is first in its rank, with a fifth it
-// goes before other ranks.
-constexpr double pressing_share = 0.4, lifted_share = 0.2;
-// A machine may fetch a third slower than its type says, and several images at a time.
-constexpr double slow_fetch = 1.5;
+// Of the time within which a job is to begin, how much is left when it is no longer stopped, when it is first in
+// its rank and when it goes before other ranks. What is put first costs others their deadlines, and where there is
+// never room enough all would be put first in the end: so as late as room can still be gathered.
+constexpr double protected_share = 0.4, pressing_share = 0.25, lifted_share = 0.12;
+// A machine may fetch a third slower than its type says; where several tasks fit, the fetch of another's image
+// may share its rate for as long.
+constexpr double slow_fetch = 1.5, shared_fetch = 1;
 
 Seconds longest_fetch(const Model& model, const JobSpec& spec) {
   Seconds fetch = 0;
   for (std::uint32_t t = 0; t < model.catalog.size(); ++t) {
     const MachineType& type = model.catalog[t];
-    if (spec.allows(TypeIndex{t}) && type.fetch_gb_per_s > 0)
-      fetch = std::max(fetch, slow_fetch * spec.image_gb / type.fetch_gb_per_s);
+    if (!spec.allows(TypeIndex{t}) || type.fetch_gb_per_s <= 0) continue;
+    bool shares = how_many_fit(spec.need, type.room) > 1;
+    fetch = std::max(fetch, (slow_fetch + (shares ? shared_fetch : 0)) * spec.image_gb / type.fetch_gb_per_s);
   }
   return fetch;
 }
@@ -22,7 +25,7 @@
 }  // namespace
 
 const char* name_of(Promise p) {
-  static constexpr const char* names[] = {"ample", "pressing", "lifted"};
+  static constexpr const char* names[] = {"ample", "protected", "pressing", "lifted"};
   return names[static_cast<int>(p)];
 }
 
@@ -36,8 +39,9 @@
   Seconds slack = promise_slack(model, spec, wall);
   double within = model.settings.op.begin_within_s;
   return slack < lifted_share * within     ? Promise::lifted
-         : slack < pressing_share * within ? Promise::pressing
-                                           : Promise::ample;
+         : slack < pressing_share * within  ? Promise::pressing
+         : slack < protected_share * within ? Promise::protected_
+                                            : Promise::ample;
 }
 
 bool waits_to_begin(const Job& j) {
