--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -37,6 +37,14 @@
     if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
     bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
     bins.back().lasting = m.lasting > 0;
+    // A member that gave up waiting has its image here and comes back as soon as its end is durable. (Taken by
+    // another gang in that moment, the machine cost it a second fetch, longer than a gang waits; so gangs with
+    // large images began after 340 s.)
+    for (TaskId id : m.on) {
+      const Placement& p = *model_.find_placement(id);
+      if (p.state == PlacementState::gone && p.cause == EndCause::incomplete)
+        bins.back().room -= model_.job(id.job).spec.need;
+    }
     bins.back().fetching_s = fetching_s(m, now);
   }
   return bins;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -237,6 +237,28 @@
   EXPECT_TRUE(c.log.twice.empty());
 }
 
+TEST(Gangs, MachineOfAMemberThatGaveUpWaitingIsKeptForIt) {
+  // Its image is there. Between its end and the record of that another gang took the machine.
+  Cluster c;
+  c.add_machine("m1");
+  c.add_machine("m2");
+  for (const char* m : {"m1", "m2"}) c.worker(m).first_phase = TaskPhase::gathering;
+  c.submit(gang("run-1", 2));
+  c.run(3);
+  std::string task = c.worker("m1").has("run-1/0") ? "run-1/0" : "run-1/1";
+  ASSERT_TRUE(c.worker("m1").has(task));
+  JobSpec other = gang("run-0", 1);
+  other.rank = Rank::high;  // it would go first
+  c.submit(other);
+  c.node(0).sync(c.now);
+  c.worker("m1").finish(task, EndCause::incomplete);
+  c.now += 0.5;
+  c.exchange("m1", 0);
+  c.node(0).fate = lab::Fate::answer_lost;  // the end is written, and its answer is waited for
+  c.node(0).pass(c.now);
+  EXPECT_TRUE(c.placed("run-0", 0).empty());
+}
+
 TEST(Gangs, LossOfOneStopsTheRestAndWaitsForAll) {
   Cluster c;
   c.add_machine("m1");
