--- a/tests/models_test.cpp
+++ b/tests/models_test.cpp
@@ -192,6 +192,16 @@
          s.run(20);
        },
        "cold", 1},
+      {"the owner ends while it cools, and a call comes to the next: it cannot know that no stop was sent",
+       [&](Served& s) {
+         warm(s);
+         s.finish("run-call/0");
+         while (s.state() != "cooling") s.run(0.5);
+         s.change_owner();
+         s.submit("run-call2", "call");
+         s.run(14);
+       },
+       "serving", 2},
       {"a call while it cools, before any stop: taken back",
        [&](Served& s) {
          warm(s);
--- a/tests/promise_test.cpp
+++ b/tests/promise_test.cpp
@@ -105,6 +105,11 @@
   c.run(0.5);
   EXPECT_TRUE(j.has_begun(0));
   EXPECT_FALSE(waits_to_begin(j));
+  c.now += 1;
+  c.node(0).pass(c.now);
+  auto order = waiting_order(m, PartIndex{1}, {c.now + 300, c.now + 300});
+  ASSERT_EQ(order.size(), 1U);
+  EXPECT_EQ(order[0].promise, Promise::ample);
 }
 
 TEST(Promise, PressingTasksAreNotStoppedBeforeTheyHaveBegun) {
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -275,13 +275,37 @@
   p.run(20);
   EXPECT_EQ(p.state(), "rendering");  // the second Arabic one has not come yet
   submit("run-6", "render", "img-ar");
+  lab::Controller& n = p.c.node(p.owner);
+  n.sync(p.c.now);
+  EXPECT_EQ(n.model.advice(n.model.find_job("run-6")).most, 0U);  // not written down yet
   p.run(5);
+  EXPECT_EQ(n.model.advice(n.model.find_job("run-6")).most, Advice::any);
   ASSERT_TRUE(p.finish("run-6"));
   p.run(4);
   EXPECT_EQ(p.state(), "decided");
   EXPECT_TRUE(p.started("run-3") && p.started("run-4"));
 }
 
+TEST(Release, RecordThatHasChangedHoldsUntilItIsRead) {
+  // Between the watch's news and the next pass nobody knows what the record now says of a job.
+  Paired p;
+  for (const char* j : {"run-ar", "run-fr"}) p.submit(j);
+  p.run(3);
+  for (const char* j : {"run-ar", "run-fr"}) p.finish(j);
+  p.run(3);
+  ASSERT_EQ(p.state(), "decided");
+  p.submit("run-pub-ar");
+  lab::Controller& n = p.c.node(0);
+  n.sync(p.c.now);
+  JobIndex job = n.model.find_job("run-pub-ar");
+  EXPECT_EQ(n.model.advice(job).most, Advice::any);
+  lab::Json rec = p.c.state.keys().at("o/d/release/manual").value;
+  rec["s"] = "rendering";
+  p.c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"put", "o/d/release/manual"}, {"value", rec}}}}});
+  n.sync(p.c.now);
+  EXPECT_EQ(n.model.advice(job).most, 0U);
+}
+
 TEST(Release, NothingIsPublishedBeforeItsTime) {
   Terms t = manual();
   release::Appointed a;
