Dead fields gone; one piece of troubles for both random histories; no change of behaviour

Need: read once more. Desk kept the set of open changes twice, the planner and the lab's controller had fields that nobody read, and the histories of releases and models wrote the same four troubles out twice. Change: tests/troubles.h serves both, drawing in the same order as before; the rest is removed.

--- a/include/oxbowmill/accord/accord.h
+++ b/include/oxbowmill/accord/accord.h
@@ -39,7 +39,7 @@
   /// Null where there is no such record.
   const Agreed* find(const Kind& kind, const std::string& name) const;
   /// A change of this record is under way or in doubt.
-  bool open(const Kind& kind, const std::string& name) const { return open_.count(kind.key(name)) != 0; }
+  bool open(const Kind& kind, const std::string& name) const { return in_doubt_->count(kind.key(name)) != 0; }
   /// The only place where a record changes. Guarded by the claim of `by` (none: whoever holds the newer file
   /// may), by the record as it stands in the tables and by `also`. Epoch and version never fall. `urgent`:
   /// work waits for it, so that the budget does not hold it back.
@@ -54,7 +54,6 @@
   TokenBucket budget_;
   /// Shared with what waits for an outcome: that may come after this object has gone.
   std::shared_ptr<std::set<std::string>> in_doubt_;
-  const std::set<std::string>& open_;
   std::uint64_t sent_ = 0;
 };
 
--- a/include/oxbowmill/lab/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -71,7 +71,6 @@
   std::unique_ptr<accord::Desk> accord;
   std::unique_ptr<release::Planner> planner;
   std::unique_ptr<models::Keeper> keeper;
-  std::uint64_t decisions = 0;  // durable ones of this controller
 
  private:
   State& state_;
--- a/include/oxbowmill/release/planner.h
+++ b/include/oxbowmill/release/planner.h
@@ -50,15 +50,10 @@
     std::optional<Terms> terms;   // of the round under way
     bool readable = true;          // what is wanted
     std::string state;
-    std::uint64_t epoch = 0;
     std::map<std::string, std::set<std::string>> bound;  // by edition and matcher: jobs that were seen
     std::set<std::string> held;  // publishing jobs of revisions that were given up: they stay held
     std::string why;
   };
-  struct Role {
-    std::size_t edition = 0, matcher = 0;  // of the renders; `publish`: the edition's publishing job
-    bool publish = false;
-  };
   void read_records();
   void write_terms(Clock clock, Effects& out);
   void tend(const std::string& name, Plan& plan, Clock clock, double earliest, Effects& out);
--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -15,8 +15,7 @@
     : model_(model),
       scheduler_(scheduler),
       budget_(share * model.settings.state_write_rps, std::max(4.0, share * model.settings.state_write_rps)),
-      in_doubt_(std::make_shared<std::set<std::string>>()),
-      open_(*in_doubt_) {}
+      in_doubt_(std::make_shared<std::set<std::string>>()) {}
 
 const Agreed* Desk::find(const Kind& kind, const std::string& name) const {
   auto it = model_.agreed.find(kind.key(name));
@@ -28,7 +27,7 @@
   std::string key = kind.key(name);
   // While the outcome of an earlier change is open nobody knows what the next would be made from. A second
   // one beside it could be the late copy that is carried out.
-  if (open_.count(key) != 0) return Asked::busy;
+  if (open(kind, name)) return Asked::busy;
   if (by.valid() && !scheduler_.owns(by)) return Asked::not_ours;
   const Agreed* now = find(kind, name);
   std::string from = now == nullptr ? "" : now->rec.state;
--- a/src/models/keeper.cpp
+++ b/src/models/keeper.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t vain_tries = 5;
 constexpr double lasting_s = 60;       // a try that has lasted so long is not in vain
 constexpr std::size_t starts_kept = 9;
-const std::string replicas_count = "replicas", starts_note = "starts", job_note = "job";
+const std::string replicas_count = "replicas", job_note = "job";
 
 std::string start_key(std::size_t i) {
   return "start" + std::to_string(i);
--- a/src/release/planner.cpp
+++ b/src/release/planner.cpp
@@ -88,7 +88,6 @@
       if (plan.stamp == it->second.stamp) continue;
       plan.stamp = it->second.stamp;
       plan.state = rec.state;
-      plan.epoch = rec.epoch;
       plan.terms = from_text(note(terms_note));
       plan.held = words(note(held_note));
       plan.bound.clear();
--- a/tests/models_test.cpp
+++ b/tests/models_test.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <random>
 
-#include "oxbowmill/lab/cluster.h"
+#include "troubles.h"
 
 namespace oxbowmill {
 namespace {
@@ -317,7 +317,6 @@
     s.standing();
     int calls = 0;
     for (int step = 0; step < 40; ++step) {
-      lab::Controller& owner = s.c.node(s.owner);
       switch (pick(10)) {
         case 0:
         case 1:
@@ -329,22 +328,16 @@
           for (int i = 0; i < calls; ++i) s.finish("run-call" + std::to_string(i) + "/0");
           break;
         case 5:
-          s.change_owner();
+          trouble(s, Trouble::owner_ends, pick);
           break;
         case 6:
-          owner.fate = pick(2) == 0 ? lab::Fate::answer_lost : lab::Fate::not_arrived;
-          s.run(0.5);
-          owner.fate = lab::Fate::answered;
+          trouble(s, Trouble::answers_lost, pick);
           break;
         case 7:
-          s.c.state.set_outage(true, s.c.now);
-          s.run(0.5 * (1 + pick(4)));
-          s.c.state.set_outage(false, s.c.now);
+          trouble(s, Trouble::state_outage, pick);
           break;
         case 8:
-          for (std::size_t i = 0; i < 3; ++i) {
-            for (const lab::Json& body : s.c.node(i).lost) s.c.state.txn(body);
-          }
+          trouble(s, Trouble::late_copies, pick);
           break;
         default:
           s.finish("run-model/" + std::to_string(pick(3)), EndCause::error);
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <random>
 
-#include "oxbowmill/lab/cluster.h"
+#include "troubles.h"
 
 namespace oxbowmill {
 namespace {
@@ -389,7 +389,6 @@
     std::shuffle(to_come.begin(), to_come.end(), random);
     bool cancelled = false;
     for (int step = 0; step < 40; ++step) {
-      lab::Controller& owner = p.c.node(p.owner);
       switch (pick(9)) {
         case 0:
         case 1:
@@ -402,22 +401,16 @@
           p.finish(pick(2) == 0 ? "run-ar" : "run-fr", pick(4) == 0 ? EndCause::error : EndCause::done);
           break;
         case 4:
-          p.change_owner();
+          trouble(p, Trouble::owner_ends, pick);
           break;
         case 5:
-          owner.fate = pick(2) == 0 ? lab::Fate::answer_lost : lab::Fate::not_arrived;
-          p.run(0.5);
-          owner.fate = lab::Fate::answered;
+          trouble(p, Trouble::answers_lost, pick);
           break;
         case 6:
-          p.c.state.set_outage(true, p.c.now);
-          p.run(0.5 * (1 + pick(4)));
-          p.c.state.set_outage(false, p.c.now);
+          trouble(p, Trouble::state_outage, pick);
           break;
         case 7:
-          for (std::size_t i = 0; i < 3; ++i) {
-            for (const lab::Json& body : p.c.node(i).lost) p.c.state.txn(body);
-          }
+          trouble(p, Trouble::late_copies, pick);
           break;
         default:
           if (pick(20) == 0 && !cancelled) cancelled = p.c.withdraw("run-fr") == 200;
