Meetings: cancelled work dies in a grace time too; late reports and deaf machines judged by proof

Cause: in its grace an owner answered with no orders, so a heir that knew of a cancellation kept its task alive through a second grace, beyond cancel_s. A copy of an older report that showed an end (or an earlier session) was believed after a takeover, so a gang's member started again under its attempt could be freed while it ran. A machine that does not hear its new owner was never silent and never proved empty. Change: core/reports.cpp (out of scheduler.cpp) kills what is cancelled in grace answers, keeps the serial there, believes an end or absence of an earlier owner's task only under its own token, and proves a machine empty that has taken none of our answers for a lease. Starts that are not heard three times go elsewhere.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -130,6 +130,8 @@
   Seconds blocked_until = 0;
   Seconds faulty_until = 0;
   std::uint64_t tenure = 0, serial = 0;
+  Stamp first_token = 0;      // of our first answer since it came to us: all later ones are no lower
+  std::uint32_t unheard = 0;  // reports in a row that showed that an answer of ours was not taken
   bool taken_over = false;  // in its part since a takeover of the part, not since a move
   bool recalled = false;    // spot notice
   bool failed_listed = false;
--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -76,6 +76,7 @@
 struct Request {
   evhttp_cmd_type method = EVHTTP_REQ_GET;
   std::string path;
+  std::string query;  // what follows the question mark; empty: nothing
   std::string body;
   ResponderPtr responder;
 };
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -461,7 +461,7 @@
     m.taken_over = false;
     m.last_answered = -1;
     m.first_report = -1;
-    m.tenure = m.serial = 0;
+    m.tenure = m.serial = m.first_token = m.unheard = 0;
     // A machine is moved only with nothing possibly on it, so there is nothing to account for.
     set_state(index, m.on.empty() ? MachineState::expected : MachineState::unaccounted, now);
   }
@@ -473,6 +473,7 @@
     m.last_answered = -1;
     m.first_report = -1;
     m.tenure = m.serial = 0;  // reports held back from an earlier term must not pass for news
+    m.first_token = m.unheard = 0;
     m.placed_at = 0;          // an owner in between may have moved it: the claim's stamp is higher
     m.part_since = m.idle_since = now;
     m.taken_over = true;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -134,170 +134,6 @@
   }
 }
 
-ReportAnswer Scheduler::on_report(const WorkerReport& r, Clock clock) {
-  ReportAnswer a;
-  Authority authority = hold_.authority(clock.now);
-  if (!model_.catalog_known()) return a;
-  notice_takeovers(clock.now);
-  MachineIndex mi = model_.find_recorded(r.machine);
-  bool recorded = mi.valid();
-  PartIndex part = recorded ? model_.machine(mi).rec.part : pool_part;
-  if (!owns(part)) {
-    const Claim& c = model_.claim(part);
-    if (c.stamp == 0 || c.rec.node == model_.settings.node) return a;
-    a.kind = ReportAnswer::Kind::redirect;
-    a.owner = c.rec.node;
-    if (recorded) {
-      const Machine& m = model_.machine(mi);
-      Seconds settled = 2 * arrival_s();
-      a.left_owner = r.token >= model_.least_token(m) && clock.now - m.part_since > settled &&
-                     clock.now - c.since > settled;
-    }
-    return a;
-  }
-  if (authority == Authority::none) return a;
-  if (!recorded) {
-    a.token = model_.claim(pool_part).stamp;
-    if (r.token > a.token) return a;
-    if (on_unrecorded) on_unrecorded(r);
-    a.kind = ReportAnswer::Kind::ok;
-    return a;
-  }
-  Machine& m = model_.machine(mi);
-  a.token = model_.token(m);
-  // A worker that has seen a higher token would drop the answer; a stale report must not count as news.
-  if (r.token > a.token) return ReportAnswer{};
-  if (std::tie(r.tenure, r.serial) <= std::tie(m.tenure, m.serial)) return ReportAnswer{};
-  a.kind = ReportAnswer::Kind::ok;
-  m.last_answered = clock.now;
-  if (authority == Authority::grace) return a;
-  bool token_shown = r.token >= model_.least_token(m);
-  m.tenure = r.tenure;
-  m.serial = r.serial;
-  m.address = r.address;
-  if (m.first_report < 0) m.first_report = clock.now;
-  m.up = true;
-  // What a market delivered is judged by the machine's own word: on another type or in another zone than was
-  // bid for, a job might be where it must not.
-  bool as_recorded = !m.rec.market.valid() ||
-                     Kind{model_.names.types.find(r.type), model_.names.zones.find(r.zone), r.spot} ==
-                         Kind{m.rec.type, m.rec.zone, m.rec.spot};
-  if (!as_recorded && m.faulty_until < clock.now) {
-    SPDLOG_INFO("machine {}: is {} in {}, not what was bid for; it goes back", r.machine, r.type, r.zone);
-    constexpr double for_good_s = 1e9;
-    m.faulty_until = clock.now + for_good_s;
-  }
-  if (as_recorded && (m.state == MachineState::expected || m.state == MachineState::silent ||
-                      (m.state == MachineState::unaccounted && token_shown))) {
-    model_.set_state(mi, MachineState::ready, clock.now);
-  }
-  if (r.recall_s >= 0 && !m.recalled) {
-    m.recalled = true;
-    SPDLOG_INFO("machine {}: will be taken back in {:.1f} s", r.machine, r.recall_s);
-  }
-  read_tasks(mi, r, token_shown, clock.now);
-  response_orders(mi, r, a.orders, clock.now);
-  return a;
-}
-
-void Scheduler::read_tasks(MachineIndex mi, const WorkerReport& r, bool token_shown, Seconds now) {
-  Machine& m = model_.machine(mi);
-  auto on = m.on;
-  for (TaskId id : on) {
-    Placement& p = *model_.find_placement(id);
-    if (p.state == PlacementState::finished || p.state == PlacementState::gone) continue;
-    const std::string& ref = model_.job(id.job).spec.ref;
-    auto t = std::find_if(r.tasks.begin(), r.tasks.end(), [&](const TaskReport& x) {
-      return x.task == p.task && x.attempt == p.attempt && x.job == ref;
-    });
-    if (t != r.tasks.end() && t->phase == TaskPhase::ended && p.state == PlacementState::placed &&
-        !p.taken_over && p.sent_serial == 0) {
-      p.leftover = true;  // of a gang member that gave up waiting and is started again here
-      continue;
-    }
-    if (t != r.tasks.end()) {
-      if (p.started_at <= 0) p.started_at = now;
-      p.taken_over = false;
-      if (p.sent_tenure == 0) {
-        p.sent_tenure = r.tenure;
-        p.sent_serial = r.serial;
-      }
-      p.phase = t->phase;
-      if (t->phase == TaskPhase::ended) {
-        task_ended(p, *t, m, now);
-      } else {
-        if (t->phase == TaskPhase::running) {
-          // What was told to stop makes no more progress, and a machine that hung made none.
-          bool close = p.ran_until >= 0 && now - p.ran_until < 2 * model_.settings.report_s + 1;
-          if (close && p.state != PlacementState::stopping) p.ran_s += now - p.ran_until;
-          p.ran_until = now;
-        }
-        if (t->phase == TaskPhase::running && p.running_at < 0) {
-          p.running_at = now;
-          SPDLOG_DEBUG("task {}/{} runs on {}, {:.1f} s after its start order", ref, p.task, r.machine,
-                       now - p.started_at);
-        }
-        if (p.state != PlacementState::stopping) model_.set_state(p, PlacementState::seen, now);
-      }
-      continue;
-    }
-    if (!token_shown && (p.sent_tenure == 0 || r.tenure <= p.sent_tenure)) continue;
-    // Absence counts only in a report newer than the one whose response carried the start, with our token or
-    // from a later session: then that response was dropped or its effect is over.
-    bool newer = std::tie(r.tenure, r.serial) > std::tie(p.sent_tenure, p.sent_serial);
-    if (!newer) continue;
-    if (p.state == PlacementState::sent) {
-      model_.set_state(p, PlacementState::placed, now);  // the start was lost: it is sent again
-    } else if (p.state == PlacementState::seen || p.state == PlacementState::stopping) {
-      p.cause = EndCause::none;
-      model_.set_state(p, PlacementState::gone, now);
-    } else {
-      p.taken_over = false;  // placed by an earlier owner, never started: it may be started now
-      p.started_at = 0;
-    }
-  }
-  bool all_off = !m.on.empty();
-  for (TaskId id : on) {
-    Job& j = model_.job(id.job);
-    if (j.spec.shape == Shape::gang) check_gang(j, now);
-  }
-  for (TaskId id : m.on) all_off = all_off && is_off(model_.find_placement(id)->state);
-  // Only an empty machine can be handed over or given back.
-  if (all_off) need_marks(mi);
-}
-
-void Scheduler::task_ended(Placement& p, const TaskReport& t, Machine& m, Seconds now) {
-  Job& j = model_.job(p.job);
-  p.cause = t.cause;
-  p.stored = t.saved;
-  SPDLOG_DEBUG("task {}/{} ended on {}: {}", j.spec.ref, p.task, model_.names.machines.name(p.machine),
-               name_of(t.cause));
-  if (t.cause == EndCause::done) {
-    j.errors = 0;
-    if (j.spec.shape == Shape::array) {
-      double took = progress::execution_time(now - p.started_at, j.saved_of(p.task));
-      j.finished_times.push_back(took);
-      if (model_.settings.progress.enabled && model_.wall_ahead != 0)
-        j.finished_as[p.task] = {p.task, took, now + model_.wall_ahead - j.spec.submitted_at};
-    }
-    model_.set_state(p, PlacementState::finished, now);
-    return;
-  }
-  if (t.cause == EndCause::peers) j.broken = p.attempt;
-  if (t.cause == EndCause::error || t.cause == EndCause::no_such) {
-    ++j.errors;
-    if (t.cause == EndCause::error) ++m.errors;
-    j.place_after = now + std::min(30.0, 0.5 * static_cast<double>(1U << std::min(j.errors, 6U)));
-    SPDLOG_INFO("task {}/{} failed on {}: {}", j.spec.ref, p.task, model_.names.machines.name(p.machine),
-                name_of(t.cause));
-    // A mistake in one job must not cost machines: only errors on several occasions make a machine suspect.
-    if (m.errors >= 3 && j.errors <= 3) m.faulty_until = now + 600;
-  } else if (t.cause == EndCause::no_room) {
-    m.blocked_until = std::max(m.blocked_until, now + 2 * model_.settings.report_s);
-  }
-  model_.set_state(p, PlacementState::gone, now);
-}
-
 bool Scheduler::may_start(const Job& j, const Placement& p) const {
   // An owner starts nothing of a job whose last transaction is in doubt: it may have given the task up.
   return j.phase == JobPhase::open && j.stamp != 0 && p.state == PlacementState::placed && !p.taken_over &&
@@ -313,39 +149,6 @@
   return {OrderVerb::kill, spec.ref, p.task, p.attempt, wind_down};
 }
 
-void Scheduler::response_orders(MachineIndex mi, const WorkerReport& r, std::vector<Order>& orders,
-                                Seconds now) {
-  Machine& m = model_.machine(mi);
-  for (const TaskReport& t : r.tasks) {
-    JobIndex ji = model_.find_job(t.job);
-    Placement* p = ji.valid() ? model_.find_placement({ji, t.task}) : nullptr;
-    if (p != nullptr && p->machine == mi && p->attempt == t.attempt) continue;
-    // Not ours to run: its record went when it was proved to have ended, or was never made.
-    if (t.phase == TaskPhase::ended) {
-      orders.push_back({OrderVerb::clear, t.job, t.task, t.attempt, 0});
-    } else {
-      SPDLOG_INFO("machine {} runs {}/{} try {} without a placement: killed", r.machine, t.job, t.task,
-                  t.attempt);
-      orders.push_back({OrderVerb::kill, t.job, t.task, t.attempt, 0});
-    }
-  }
-  for (TaskId id : m.on) {
-    Placement& p = *model_.find_placement(id);
-    if (p.state == PlacementState::stopping) orders.push_back(kill_order(p, now));
-  }
-  if (m.state != MachineState::ready || m.recalled) return;
-  for (TaskId id : m.on) {
-    Placement& p = *model_.find_placement(id);
-    Job& j = model_.job(id.job);
-    if (!may_start(j, p)) continue;
-    if (p.leftover) orders.push_back({OrderVerb::clear, j.spec.ref, p.task, p.attempt, 0});
-    orders.push_back({OrderVerb::start, j.spec.ref, p.task, p.attempt, 0});
-    p.sent_tenure = r.tenure;
-    p.sent_serial = r.serial;
-    model_.set_state(p, PlacementState::sent, now);
-  }
-}
-
 void Scheduler::stop(Placement& p, double wind_down_s, Seconds now) {
   if (p.state == PlacementState::finished || p.state == PlacementState::gone ||
       p.state == PlacementState::stopping) {
@@ -368,23 +171,6 @@
   }
 }
 
-Seconds Scheduler::ours_alone_since(const Machine& m) const {
-  Seconds after_grace = m.part_since + model_.settings.grace_s() * (1 + 2 * Settings::drift);
-  // One that was moved may be answered by the owner it came from, who lives under the hold it had.
-  if (!m.taken_over) return after_grace;
-  // The earlier owner's grace need not be waited for once every controller has begun anew: what was answered
-  // to this worker on behalf of the part was answered under a hold that has ended since, and its holder
-  // answers nothing under it any more (docs/start.md, "Safety").
-  Seconds anew = model_.all_anew_since();
-  return anew < 0 ? after_grace : std::min(after_grace, std::max(m.part_since, anew));
-}
-
-Seconds Scheduler::proved_empty_at(const Machine& m) const {
-  bool unproved = m.state == MachineState::unaccounted || (m.state == MachineState::deleting && m.taken_over);
-  Seconds from = unproved ? ours_alone_since(m) : m.part_since;
-  return std::max(m.last_answered, from) + model_.settings.lease_over_s();
-}
-
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
@@ -415,16 +201,8 @@
     }
     if (silent && news) {
       SPDLOG_INFO("machine {}: silent, its lease is over", model_.names.machines.name(mi));
-      for (TaskId id : m.on) {
-        Placement& p = *model_.find_placement(id);
-        if (p.state == PlacementState::finished || p.state == PlacementState::gone) continue;
-        p.cause = EndCause::none;
-        model_.set_state(p, PlacementState::gone, now);
-      }
+      prove_empty(mi, now);
       if (m.state != MachineState::deleting) model_.set_state(mi, MachineState::silent, now);
-      for (TaskId id : std::vector<TaskId>(m.on)) {
-        if (model_.job(id.job).spec.shape == Shape::gang) check_gang(model_.job(id.job), now);
-      }
     }
     if (m.state == MachineState::deleting) continue;
     if (gate_ != nullptr && !m.writing && gate_->condemned(mi)) {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -142,6 +142,8 @@
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(req);
   const char* path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr;
   r.path = path != nullptr ? path : "/";
+  const char* query = uri != nullptr ? evhttp_uri_get_query(uri) : nullptr;
+  r.query = query != nullptr ? query : "";
   r.body = drain(evhttp_request_get_input_buffer(req));
   r.responder = std::make_shared<Responder>(*server, req);
   evhttp_connection* conn = evhttp_request_get_connection(req);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -75,7 +75,9 @@
     }
     if (r.path == "/watch") {
       watch_ = r.responder;
-      watched_from_ = watched_;
+      // From where it says: what a watch of an ended program was told, its successor has not heard.
+      std::size_t at = r.query.find("from=");
+      watched_from_ = at == std::string::npos ? 0 : std::strtoull(r.query.c_str() + at + 5, nullptr, 10);
       watch_since_ = now();
       return answer_watch();
     }
@@ -84,7 +86,6 @@
       for (const auto& [key, e] : state_.keys()) {
         if (key.rfind("o/", 0) == 0) items.push_back({{"k", key}, {"value", e.value}, {"stamp", e.stamp}});
       }
-      watched_ = state_.events().size();
       return reply(200, {{"items", items}, {"truncated", false}, {"ledger_rev", state_.revision()}});
     }
     std::string key = r.path.substr(std::string("/store/").size());
@@ -96,10 +97,10 @@
 
   void answer_watch() {
     const auto& events = state_.events();
-    if (!watch_ || (watched_from_ == events.size() && now() - watch_since_ < watch_hold_s_)) return;
+    if (!watch_ || (watched_from_ >= state_.revision() && now() - watch_since_ < watch_hold_s_)) return;
     Json news = Json::array();
-    for (std::size_t i = watched_from_; i < events.size(); ++i) {
-      if (events[i].key.rfind("o/", 0) != 0) continue;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+      if (events[i].revision <= watched_from_ || events[i].key.rfind("o/", 0) != 0) continue;
       Json n = {{"stamp", events[i].revision}};
       if (events[i].value) {
         n["put"] = events[i].key;
@@ -109,7 +110,6 @@
       }
       news.push_back(n);
     }
-    watched_ = events.size();
     auto to = std::move(watch_);
     to->reply(200, wire::encode({{"ledger_rev", state_.revision()}, {"news", news}}));
   }
@@ -291,7 +291,7 @@
   std::thread reader_;  // hands the program's log on
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
   net::ResponderPtr watch_;
-  std::size_t watched_ = 0, watched_from_ = 0;
+  std::uint64_t watched_from_ = 0;  // revision
   double watch_since_ = 0, watch_hold_s_ = 0.5;
   int job_reads_ = 0;
   double hold_lives_ = 1;  // how many times its life a hold lasts here
