Views, questions and registrations as pure parts; a list is as new as its first page

Cause: a list of several pages credited the hold with the time of its last page, though its tables are as new as the first. A poll of a job that was over read two keys after waiting for the tables: longer than a user waits while the state service is slow. A node's key that an earlier process wrote late went with that one's hold, and the node claimed nothing more. Change: service/view, service/enquiry and needs_registration decide, pure; mirror, intake and node ask them.

--- a/include/oxbowmill/service/intake.h
+++ b/include/oxbowmill/service/intake.h
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "oxbowmill/service/enquiry.h"
 #include "oxbowmill/service/mirror.h"
 
 namespace oxbowmill::service {
@@ -24,15 +25,19 @@
   std::function<void(Stamp)> on_write;
 
  private:
-  struct Found {
-    enum class Kind : std::uint8_t { live, final, none, unknown } kind = Kind::unknown;
-    JobPhase phase = JobPhase::open;
-    Stamp stamp = 0;
+  struct Question {
+    std::string ref;
+    Enquiry enquiry;
+    Stamp stamp = 0;  // of the job's own key, where that was found
     wire::Json value;
+    std::function<void(EnquiryStep)> done;  // answer, absent or refuse
   };
-  void look_up(const std::string& ref, std::function<void(const Found&)> fn);
+  using QuestionPtr = std::shared_ptr<Question>;
+  void go_on(const QuestionPtr& q, EnquiryStep step);
+  /// Asks the keys themselves.
+  void ask(const std::string& ref, std::function<void(const Question&, EnquiryStep)> fn);
   void answer_status(const std::string& ref, JobPhase phase, const net::ResponderPtr& to);
-  bool overloaded(const net::ResponderPtr& to) const;
+  bool overloaded() const;
   state::Store& store_;
   Model& model_;
   std::function<double()> now_, wall_;
--- a/include/oxbowmill/service/mirror.h
+++ b/include/oxbowmill/service/mirror.h
@@ -6,18 +6,17 @@
 #include <unordered_map>
 
 #include "oxbowmill/core/claims.h"
+#include "oxbowmill/service/view.h"
 #include "oxbowmill/state/store.h"
 
 namespace oxbowmill::service {
 
-enum class SyncState : std::uint8_t { empty, listing, live };
-
 class Mirror {
  public:
   Mirror(event_base* base, state::Store& store, Model& model, Scheduler& scheduler, Hold& hold,
          std::function<double()> now);
   void start();
-  bool live() const { return state_ == SyncState::live; }
+  bool live() const { return view_.live(); }
   /// Own transaction, known to be applied at this revision.
   void applied(const std::vector<std::pair<std::string, Change>>& changes, Stamp revision);
   /// There is news up to this revision: the next watch is opened without delay.
@@ -30,7 +29,6 @@
   std::function<void()> on_change;
 
  private:
-  void set_state(SyncState s) { state_ = s; }
   void list_from(const std::string& from);
   void watch();
   bool admit(const std::string& key, Stamp stamp, bool removal);
@@ -44,8 +42,7 @@
   Hold& hold_;
   std::function<double()> now_;
   net::Timer retry_;
-  SyncState state_ = SyncState::empty;
-  Stamp base_ = 0, revision_ = 0;
+  View view_;
   std::set<std::string> listed_;
   std::unordered_map<std::string, Stamp> stamps_;
   std::unordered_map<std::string, Stamp> removed_;  // removals that the watch has yet to confirm
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -64,9 +64,9 @@
   std::unordered_map<std::uint32_t, double> claim_at_;  // by part: when to try
   std::set<std::uint32_t> past_parts_;                  // held by this node's earlier process until just now
   net::Timer tick_;
-  double next_renew_ = 0, next_catalog_ = 0;
+  double next_renew_ = 0, next_catalog_ = 0, next_registration_ = 0;
   double started_at_ = 0;
-  bool renewing_ = false, node_key_ = false, past_ended_ = false, catalog_stored_ = false;
+  bool renewing_ = false, past_ended_ = false, catalog_stored_ = false;
   Stamp known_revision_ = 0;                // highest that an own transaction got
   void malformed(const std::string& what);  // logged once per sender and kind
   std::set<std::string> bad_senders_;
--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -31,6 +31,11 @@
 }
 }  // namespace
 
+bool needs_registration(const Model& model, const Hold& hold, const std::string& me) {
+  auto it = model.nodes().find(me);
+  return hold.id() != 0 && (it == model.nodes().end() || it->second.rec.hold != hold.id());
+}
+
 std::size_t claim_turn(const Model& model, PartIndex part, const std::string& me,
                        const std::vector<std::string>& all) {
   std::vector<std::tuple<std::size_t, std::size_t, std::string>> order;
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -31,47 +31,49 @@
   }
 }
 
-bool Intake::overloaded(const net::ResponderPtr& to) const {
+bool Intake::overloaded() const {
   // While the state service does not answer, or has more to do than it can, a refusal at once is the better
   // answer: nothing is held back in hope.
-  if (ready() && store_.backlog() < most_backlog && store_.silent_for() < silent_s) return false;
-  refuse(to);
-  return true;
+  return !ready() || store_.backlog() >= most_backlog || store_.silent_for() >= silent_s;
 }
 
-void Intake::look_up(const std::string& ref, std::function<void(const Found&)> fn) {
-  // The job's own key first: it goes in the same transaction in which the final key comes, so a job that was
-  // ever accepted is found under one of the two.
-  store_.get(state::job_key(ref), Urgency::user, [this, ref, fn = std::move(fn)](const StoreAnswer& a) {
-    Found f;
-    if (a.status == 200 && a.body.contains("value")) {
-      auto phase = state::read_phase(a.body["value"]);
-      if (phase) {
-        f.kind = Found::Kind::live;
-        f.phase = *phase;
-        f.stamp = a.body.value("stamp", Stamp{0});
-        f.value = a.body["value"];
-      }
-      fn(f);
-      return;
-    }
-    if (a.status != 404) {
-      fn(f);
-      return;
-    }
-    store_.get(state::final_key(ref), Urgency::user, [fn](const StoreAnswer& b) {
-      Found g;
-      if (b.status == 404) {
-        g.kind = Found::Kind::none;
-      } else if (b.status == 200 && b.body.contains("value")) {
-        if (auto phase = state::read_phase(b.body["value"])) {
-          g.kind = Found::Kind::final;
-          g.phase = *phase;
+void Intake::go_on(const QuestionPtr& q, EnquiryStep step) {
+  using Kind = KeyRead::Kind;
+  switch (step) {
+    case EnquiryStep::wait_for_tables:
+      // A read each would take the state service's whole request limit at a thousand live jobs; the tables serve
+      // as well once they are known to be as new as the poll. Only what is not live there is read.
+      return when_current([this, q](bool current) {
+        const Job* j = current ? model_.live_job(model_.find_job(q->ref)) : nullptr;
+        EnquiryStep next =
+            q->enquiry.on_tables(current, j != nullptr ? std::make_optional(j->phase) : std::nullopt);
+        // It has waited: whether there is anything to be read now is another question.
+        go_on(q, next != EnquiryStep::answer && overloaded() ? EnquiryStep::refuse : next);
+      });
+    case EnquiryStep::read_live:
+    case EnquiryStep::read_final: {
+      bool live = step == EnquiryStep::read_live;
+      std::string key = live ? state::job_key(q->ref) : state::final_key(q->ref);
+      return store_.get(key, Urgency::user, [this, q, live](const StoreAnswer& a) {
+        KeyRead r;
+        auto phase = a.status == 200 && a.body.contains("value") ? state::read_phase(a.body["value"]) : std::nullopt;
+        if (phase) {
+          r = {Kind::found, *phase};
+        } else if (a.status == 404) {
+          r.kind = Kind::absent;
         }
-      }
-      fn(g);
-    });
-  });
+        if (phase && live) {
+          q->stamp = a.body.value("stamp", Stamp{0});
+          q->value = a.body["value"];
+        }
+        go_on(q, live ? q->enquiry.on_live(r) : q->enquiry.on_final(r));
+      });
+    }
+    case EnquiryStep::answer:
+    case EnquiryStep::absent:
+    case EnquiryStep::refuse:
+      return q->done(step);
+  }
 }
 
 void Intake::answer_status(const std::string& ref, JobPhase phase, const net::ResponderPtr& to) {
@@ -91,7 +93,7 @@
 void Intake::submit(const net::Request& r) {
   auto body = wire::decode_map(r.body);
   if (!body) return reject(r.responder, 400, "not a CBOR map within the size limit");
-  if (overloaded(r.responder)) return;
+  if (overloaded()) return refuse(r.responder);
   JobSpec spec;
   if (auto rejection = wire::read_submission(*body, model_.names, spec)) {
     return reject(r.responder, rejection->status, rejection->reason);
@@ -115,10 +117,8 @@
       on_write(a.body.value("ledger_rev", Stamp{0}));
       to->reply(201, wire::encode({{"ref", ref}, {"phase", "queued"}}));
     } else if (a.status == 409) {
-      look_up(ref, [this, ref, to](const Found& f) {
-        if (f.kind == Found::Kind::live || f.kind == Found::Kind::final)
-          return answer_status(ref, f.phase, to);
-        refuse(to);
+      ask(ref, [this, ref, to](const Question& q, EnquiryStep found) {
+        found == EnquiryStep::answer ? answer_status(ref, q.enquiry.phase(), to) : refuse(to);
       });
     } else {
       refuse(to);
@@ -129,44 +129,40 @@
 void Intake::poll(const std::string& ref, const net::ResponderPtr& to) {
   if (!wire::valid_id(ref)) return reject(to, 404, "no such job");
   auto known = finals_.find(ref);
-  if (known != finals_.end()) return answer_status(ref, known->second, to);
-  if (overloaded(to)) return;
-  // A read each would take the state service's whole request limit at a thousand live jobs; the tables serve
-  // as well once they are known to be as new as the poll. Only what is not live there is read.
-  when_current([this, ref, to](bool current) {
-    const Job* j = current ? model_.live_job(model_.find_job(ref)) : nullptr;
-    if (j != nullptr) return answer_status(ref, j->phase, to);
-    if (overloaded(to)) return;
-    look_up(ref, [this, ref, to](const Found& f) {
-      switch (f.kind) {
-        case Found::Kind::live:
-        case Found::Kind::final:
-          return answer_status(ref, f.phase, to);
-        case Found::Kind::none:
-          return reject(to, 404, "no such job");
-        case Found::Kind::unknown:
-          return refuse(to);
-      }
-    });
-  });
+  bool remembered = known != finals_.end();
+  if (!remembered && overloaded()) return refuse(to);
+  auto q = std::make_shared<Question>();
+  q->ref = ref;
+  q->done = [this, ref, to, e = &q->enquiry](EnquiryStep found) {
+    if (found == EnquiryStep::answer) return answer_status(ref, e->phase(), to);
+    found == EnquiryStep::absent ? reject(to, 404, "no such job") : refuse(to);
+  };
+  go_on(q, q->enquiry.poll(remembered ? std::make_optional(known->second) : std::nullopt));
+}
+
+void Intake::ask(const std::string& ref, std::function<void(const Question&, EnquiryStep)> fn) {
+  auto q = std::make_shared<Question>();
+  q->ref = ref;
+  q->done = [fn = std::move(fn), self = q.get()](EnquiryStep found) { fn(*self, found); };
+  go_on(q, q->enquiry.look_up());
 }
 
 void Intake::withdraw(const std::string& ref, const net::ResponderPtr& to, int tries) {
   if (!wire::valid_id(ref)) return reject(to, 404, "no such job");
-  if (overloaded(to)) return;
+  if (overloaded()) return refuse(to);
   auto answer = [this, ref, to](JobPhase phase) {
     note_final(ref, phase);
     to->reply(200, wire::encode({{"ref", ref}, {"phase", name_of(phase)}}));
   };
-  look_up(ref, [this, ref, to, tries, answer](const Found& f) {
-    if (f.kind == Found::Kind::none) return reject(to, 404, "no such job");
-    if (f.kind == Found::Kind::unknown) return refuse(to);
-    if (f.phase != JobPhase::open) return answer(f.phase);
+  ask(ref, [this, ref, to, tries, answer](const Question& q, EnquiryStep found) {
+    if (found == EnquiryStep::absent) return reject(to, 404, "no such job");
+    if (found == EnquiryStep::refuse) return refuse(to);
+    if (q.enquiry.phase() != JobPhase::open) return answer(q.enquiry.phase());
     // One guarded write of the phase decides between done and cancelled.
     Json txn = {
-        {"guards", {{{"k", state::job_key(ref)}, {"stamp", f.stamp}}}},
+        {"guards", {{{"k", state::job_key(ref)}, {"stamp", q.stamp}}}},
         {"apply",
-         {{{"put", state::job_key(ref)}, {"value", state::with_phase(f.value, JobPhase::cancelled)}}}}};
+         {{{"put", state::job_key(ref)}, {"value", state::with_phase(q.value, JobPhase::cancelled)}}}}};
     store_.txn(txn, Urgency::user, [this, ref, to, tries, answer](const StoreAnswer& a) {
       if (a.status == 200) {
         SPDLOG_INFO("job {}: cancelled by its user", ref);
--- a/src/service/mirror.cpp
+++ b/src/service/mirror.cpp
@@ -33,7 +33,7 @@
       now_(std::move(now)),
       retry_(base,
              [this] {
-               if (state_ == SyncState::live) {
+               if (view_.live()) {
                  watch();
                } else {
                  start();
@@ -42,8 +42,7 @@
       reader_timer_(base, [this] { give_up_readers(); }) {}
 
 void Mirror::start() {
-  set_state(SyncState::listing);
-  base_ = 0;
+  view_.list();
   listed_.clear();
   list_from("");
 }
@@ -55,7 +54,7 @@
       retry_.after(0.3);
       return;
     }
-    if (base_ == 0) base_ = a.body.value("ledger_rev", Stamp{0});
+    view_.page(a.body.value("ledger_rev", Stamp{0}), a.sent_at);
     std::string last;
     for (const Json& item : *items) {
       last = item.value("k", std::string());
@@ -70,21 +69,20 @@
     // Keys that were known before and are not listed went away while nobody watched.
     std::vector<std::string> gone;
     for (const auto& [key, stamp] : stamps_) {
-      if (stamp <= base_ && listed_.count(key) == 0) gone.push_back(key);
+      if (stamp <= view_.revision() && listed_.count(key) == 0) gone.push_back(key);
     }
-    for (const std::string& key : gone) take(key, nullptr, base_);
+    for (const std::string& key : gone) take(key, nullptr, view_.revision());
     listed_.clear();
-    revision_ = base_;
-    set_state(SyncState::live);
-    scheduler_.seen_revision(revision_);
-    hold_.watch_answered(a.sent_at);
-    SPDLOG_INFO("state read up to revision {}: {} keys", revision_, stamps_.size());
+    view_.listed();
+    scheduler_.seen_revision(view_.revision());
+    hold_.watch_answered(view_.as_of());
+    SPDLOG_INFO("state read up to revision {}: {} keys", view_.revision(), stamps_.size());
     watch();
   });
 }
 
 void Mirror::nudge(Stamp revision) {
-  if (state_ != SyncState::live || revision <= revision_ || !retry_.pending()) return;
+  if (!view_.live() || revision <= view_.revision() || !retry_.pending()) return;
   if (!scheduler_.owns_any() || now_() - last_watch_ < nudged_spacing_s) return;
   retry_.cancel();
   watch();
@@ -101,7 +99,7 @@
   // A watch that was open before the reader came speaks for an earlier moment, and one that is held open may
   // say so only much later.
   bool stuck = !riding_.empty() && now - last_watch_ > reader_wait_s / 2;
-  if (state_ != SyncState::live || held_open_ || stuck || !read_often()) return fn(false);
+  if (!view_.live() || held_open_ || stuck || !read_often()) return fn(false);
   waiting_.push_back({std::move(fn), now});
   if (!reader_timer_.pending()) reader_timer_.after(reader_wait_s);
 }
@@ -127,7 +125,7 @@
   held_open_ = !read_often();
   for (Reader& r : waiting_) riding_.push_back(std::move(r));
   waiting_.clear();
-  store_.watch(state::live_prefix, revision_, held_open_ ? watch_hold_s : 0, [this](const StoreAnswer& a) {
+  store_.watch(state::live_prefix, view_.revision(), held_open_ ? watch_hold_s : 0, [this](const StoreAnswer& a) {
     held_open_ = false;
     std::deque<Reader> readers = std::move(riding_);
     riding_.clear();
@@ -160,11 +158,11 @@
         }
       }
     }
-    revision_ = std::max(revision_, revision);
-    scheduler_.seen_revision(revision_);
-    hold_.watch_answered(a.sent_at);
+    view_.watched(revision, a.sent_at);
+    scheduler_.seen_revision(view_.revision());
+    hold_.watch_answered(view_.as_of());
     for (auto it = removed_.begin(); it != removed_.end();) {
-      it = it->second <= revision_ ? removed_.erase(it) : std::next(it);
+      it = it->second <= view_.revision() ? removed_.erase(it) : std::next(it);
     }
     answer(true);
     if (any && on_change) on_change();
@@ -211,7 +209,7 @@
 }
 
 void Mirror::applied(const std::vector<std::pair<std::string, Change>>& changes, Stamp revision) {
-  if (revision <= revision_) return;  // the watch has brought it already
+  if (revision <= view_.revision()) return;  // the watch has brought it already
   for (const auto& [key, change] : changes) {
     if (std::holds_alternative<FinalKey>(change.key)) continue;
     if (admit(key, revision, change.removal())) model_.apply(change, revision, now_());
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -14,6 +14,7 @@
 constexpr double state_ok_s = 1.5;  // an answer of the state service counts as news for this long
 constexpr double catalog_every_s = 60;
 constexpr double claim_stagger_s = 0.6;  // between the preferred node's attempt and the next one's
+constexpr double registration_every_s = 1;
 constexpr double pass_on_s = 30;         // how long reports are passed on before their owner is tried again
 constexpr double young_s = 5;            // a node that started so lately does not know who else is there
 }  // namespace
@@ -190,7 +191,7 @@
   if (hold_.state() == HoldState::none || hold_.state() == HoldState::lost) {
     if (t < next_renew_) return;
     hold_.opening();
-    node_key_ = false;
+    next_registration_ = 0;
     store_.open_hold(model_.settings.op.hold_life_s, [this, every](const StoreAnswer& a) {
       if (a.status == 200 && a.body.contains("grant") && a.body["grant"].is_number()) {
         hold_.opened(a.body["grant"].get<std::uint64_t>(), a.sent_at);
@@ -284,11 +285,9 @@
       fn(a);
     });
   };
-  if (!node_key_) {
-    node_key_ = true;
-    put(NodeKey{model_.settings.node}, 0, Urgency::claim, [this](const StoreAnswer& a) {
-      if (a.status != 200) node_key_ = false;
-    });
+  if (t >= next_registration_ && needs_registration(model_, hold_, model_.settings.node)) {
+    next_registration_ = t + registration_every_s;
+    put(NodeKey{model_.settings.node}, 0, Urgency::claim, [](const StoreAnswer&) {});
   }
   std::vector<std::string> live;
   for (const auto& [name, rec] : model_.nodes()) live.push_back(name);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -2,11 +2,14 @@
 #include <gtest/gtest.h>
 
 #include "oxbowmill/lab/cluster.h"
+#include "oxbowmill/service/enquiry.h"
+#include "oxbowmill/service/view.h"
 
 namespace oxbowmill {
 namespace {
 
 using lab::Cluster;
+using lab::Controller;
 using lab::test_job;
 using Kind = ReportAnswer::Kind;
 
@@ -49,10 +52,13 @@
 TEST(Meetings, WhatWasAnsweredInTheGraceTimeIsNotOutdoneByAnOlderReport) {
   Running r;
   auto older = r.c.worker("m1").report(r.c.now);
+  r.c.state.set_outage(true, r.c.now);
   r.c.now += r.c.node(0).model.settings.op.hold_life_s + 0.5;
   EXPECT_EQ(r.c.exchange("m1", 0).kind, Kind::ok);
+  r.c.state.set_outage(false, r.c.now);
   r.c.node(0).renew(r.c.now);
   r.c.node(0).sync(r.c.now);
+  ASSERT_EQ(r.c.node(0).hold.authority(r.c.now), Authority::full);
   EXPECT_EQ(r.c.node(0).hear(older, r.c.now).kind, Kind::refuse);
 }
 
@@ -88,21 +94,36 @@
 }
 
 TEST(Meetings, SessionsHeardLateDoNotProveATaskGoneThatALaterOneRuns) {
-  // Copies of an earlier session that shows it, and of the present one before the start came, in this order.
-  Running r;
-  WorkerReport shows = r.c.worker("m1").report(r.c.now);
-  r.c.hand_over(0, 1, 4);
-  WorkerReport lacks = shows;
-  ++lacks.tenure;
-  lacks.tasks.clear();
-  for (const WorkerReport& late : {shows, lacks}) r.c.node(1).hear(late, r.c.now);
-  r.c.node(1).pass(r.c.now);
-  EXPECT_EQ(r.c.placed("run-1", 0), std::vector<std::string>{"m1"});
-  // Its own word settles the matter.
-  r.c.worker("m1").finish("run-1/0", EndCause::done);
-  r.c.node(1).model.machine(r.c.node(1).model.names.machines.find("m1")).tenure = 0;
-  r.c.run(3, 1);
-  EXPECT_EQ(r.c.phase("run-1"), "done");
+  // The start was lost with the session that took it, and sent again under its attempt in the next. The new owner
+  // hears copies of the first session, which shows the task, and of the second from before the start came.
+  Cluster c;
+  c.add_machine("m1");
+  c.run(2);
+  c.submit(test_job("run-1", 1));
+  c.node(0).sync(c.now);
+  c.node(0).pass(c.now);
+  c.exchange("m1", 0);
+  WorkerReport shows = c.worker("m1").report(c.now);
+  ASSERT_EQ(shows.tasks.size(), 1U);
+  for (int i = 0; i < 20; ++i) {
+    c.now += 0.515;
+    c.node(0).renew(c.now);
+    c.node(0).sync(c.now);
+  }
+  WorkerReport lacks = c.worker("m1").report(c.now);
+  ASSERT_EQ(lacks.tenure, 2U);
+  c.worker("m1").answer(c.node(0).hear(lacks, c.now), c.now);
+  ASSERT_TRUE(c.worker("m1").has("run-1/0"));
+  ASSERT_EQ(c.worker("m1").attempt("run-1/0"), shows.tasks[0].attempt) << "the case that this is about";
+  c.add_machine("m2");
+  c.hand_over(0, 1, 0.5);
+  for (const WorkerReport& late : {shows, lacks}) c.node(1).hear(late, c.now);
+  c.run(5, 1);
+  EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m1"});
+  EXPECT_TRUE(c.log.twice.empty());
+  c.worker("m1").finish("run-1/0", EndCause::done);
+  c.run(3, 1);
+  EXPECT_EQ(c.phase("run-1"), "done");
 }
 
 TEST(Meetings, AMachineThatDoesNotHearItsNewOwnerIsProvedEmptyAllTheSame) {
@@ -158,5 +179,104 @@
   }
 }
 
+TEST(Meetings, TheTablesAreAsNewAsTheFirstPageOfAList) {
+  // Ten seconds lay between the pages: a job of the first may have been cancelled since.
+  service::View view;
+  view.list();
+  view.page(110, 50);
+  view.page(130, 60);
+  EXPECT_FALSE(view.live());
+  view.listed();
+  EXPECT_TRUE(view.live());
+  EXPECT_EQ(view.as_of(), 50);
+  EXPECT_EQ(view.revision(), 110U);
+  Settings s = lab::test_settings("n");
+  Hold h(s);
+  h.opened(1, 60);
+  h.watch_answered(view.as_of());
+  EXPECT_EQ(h.authority(61), Authority::grace);
+  view.watched(140, 62);
+  EXPECT_EQ(view.as_of(), 62);
+  EXPECT_EQ(view.revision(), 140U);
+  // Read again later: never older than it was.
+  view.list();
+  view.page(150, 61);
+  view.listed();
+  EXPECT_EQ(view.as_of(), 62);
+  EXPECT_EQ(view.revision(), 150U);
+}
+
+TEST(Meetings, AQuestionIsAnsweredByWhatIsKnownAndNothingElse) {
+  using service::Enquiry;
+  using Step = service::EnquiryStep;
+  using Read = service::KeyRead;
+  const Read none{Read::Kind::absent, JobPhase::open}, unknown{}, done{Read::Kind::found, JobPhase::done},
+      open{Read::Kind::found, JobPhase::open};
+  struct Case {
+    const char* what;
+    bool current;
+    std::vector<Read> reads;  // as they are asked for
+    Step end;
+    std::size_t used;
+  };
+  const Case cases[] = {
+      {"over, and the tables are current: one read", true, {done}, Step::answer, 1},
+      {"unreadable in the tables, but there", true, {none, open}, Step::answer, 2},
+      {"never there", true, {none, none, none}, Step::absent, 3},
+      {"over, and nothing is known of the tables", false, {none, done}, Step::answer, 2},
+      {"running", false, {open}, Step::answer, 1},
+      {"its own key does not answer", false, {unknown}, Step::refuse, 1},
+      {"the final key does not answer", false, {none, unknown}, Step::refuse, 2},
+      {"no answer is no absence", true, {unknown}, Step::refuse, 1},
+  };
+  for (const Case& k : cases) {
+    Enquiry e;
+    ASSERT_EQ(e.poll(std::nullopt), Step::wait_for_tables);
+    Step step = e.on_tables(k.current, std::nullopt);
+    std::size_t used = 0;
+    while (step == Step::read_live || step == Step::read_final) {
+      ASSERT_LT(used, k.reads.size()) << k.what;
+      const Read& r = k.reads[used++];
+      step = step == Step::read_live ? e.on_live(r) : e.on_final(r);
+    }
+    EXPECT_EQ(step, k.end) << k.what;
+    EXPECT_EQ(used, k.used) << k.what;
+    if (step == Step::answer) {
+      EXPECT_EQ(e.phase(), k.reads.back().phase) << k.what;
+    }
+  }
+  Enquiry remembered;
+  EXPECT_EQ(remembered.poll(JobPhase::cancelled), Step::answer);
+  EXPECT_EQ(remembered.phase(), JobPhase::cancelled);
+  Enquiry live;
+  live.poll(std::nullopt);
+  EXPECT_EQ(live.on_tables(true, JobPhase::open), Step::answer);
+}
+
+TEST(Meetings, ANameThatWentWithAnEarlierHoldIsRegisteredAgain) {
+  // An earlier process's registration is carried out after its successor's, and goes with the earlier hold.
+  Cluster c;
+  Controller& n = c.node(0);
+  std::uint64_t earlier = c.state.open_hold(2, c.now);
+  auto put = [&](std::uint64_t hold) {
+    Change change{NodeKey{n.name}, ClaimRecord{n.name, hold}, hold};
+    std::string key = state::encode_key(change.key, n.model);
+    lab::Json op = {{"put", key}, {"value", state::encode_value(change, n.model)}, {"grant", hold}};
+    EXPECT_EQ(c.state.txn({{"guards", lab::Json::array()}, {"apply", {op}}}).status, 200);
+    n.sync(c.now);
+  };
+  EXPECT_TRUE(needs_registration(n.model, n.hold, n.name));
+  put(n.hold.id());
+  EXPECT_FALSE(needs_registration(n.model, n.hold, n.name));
+  put(earlier);  // late
+  EXPECT_TRUE(needs_registration(n.model, n.hold, n.name));
+  c.run(3);  // the earlier hold ends and takes the key along
+  EXPECT_TRUE(needs_registration(n.model, n.hold, n.name));
+  put(n.hold.id());
+  EXPECT_FALSE(needs_registration(n.model, n.hold, n.name));
+  n.hold.lost();
+  EXPECT_FALSE(needs_registration(n.model, n.hold, n.name)) << "there is nothing to register under";
+}
+
 }  // namespace
 }  // namespace oxbowmill
