--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -10,8 +10,10 @@
 #include <thread>
 
 #include "oxbowmill/lab/agreed_world.h"
+#include "oxbowmill/lab/crew.h"
 #include "oxbowmill/lab/experiment.h"
 #include "oxbowmill/lab/fleet_experiment.h"
+#include "oxbowmill/lab/histories.h"
 #include "oxbowmill/lab/market_server.h"
 
 namespace {
@@ -67,6 +69,23 @@
   return std::any_of(summary.begin(), summary.end(), [](const auto& x) { return x.broken != 0; }) ? 1 : 0;
 }
 
+int histories(unsigned long long from, unsigned seeds, unsigned threads) {
+  std::vector<lab::FleetResult> results(seeds);
+  lab::in_parallel(seeds, threads, [&](std::size_t i) {
+    results[i] = lab::FleetWorld(lab::random_history(from + i), lab::Way::now, from + i).run();
+  });
+  unsigned broken = 0;
+  for (unsigned i = 0; i < seeds; ++i) {
+    if (results[i].broken.empty()) continue;
+    ++broken;
+    std::cout << "seed " << from + i << ": " << results[i].broken.front() << " and "
+              << results[i].broken.size() - 1 << " more; needs\n"
+              << lab::script(lab::shrunk(lab::random_history(from + i), from + i));
+  }
+  std::cout << seeds << " histories from seed " << from << ", " << broken << " with a rule broken\n";
+  return broken != 0 ? 1 : 0;
+}
+
 int agreed(const std::string& file, unsigned seeds, unsigned threads) {
   lab::AgreedScenario s = lab::load_agreed(file);
   auto rows = lab::play_agreed(s, seeds, threads);
@@ -100,7 +119,7 @@
   app.require_subcommand(1);
   std::string file, report, policy = "planner";
   unsigned seeds = 200, threads = std::max(1U, std::thread::hardware_concurrency());
-  unsigned long long one = 0;
+  unsigned long long one = 0, from = 1;
   auto* m = app.add_subcommand("markets", "bidding on stand-in markets, beside its baselines");
   m->add_option("scenario", file, "scenario file (YAML)")->required();
   m->add_option("--seeds", seeds, "how many seeds, from 1 on");
@@ -121,6 +140,10 @@
   g->add_option("scenario", file, "scenario file (YAML)")->required();
   g->add_option("--seeds", seeds, "how many seeds, from 1 on");
   g->add_option("--threads", threads, "how many at a time");
+  auto* h = app.add_subcommand("histories", "random troubles for a small cluster; what breaks a rule is shrunk");
+  h->add_option("--from", from, "the first seed");
+  h->add_option("--seeds", seeds, "how many seeds");
+  h->add_option("--threads", threads, "how many at a time");
   std::string name, listen = "127.0.0.1:0";
   auto* one_market =
       app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
@@ -130,6 +153,7 @@
   try {
     app.parse(argc, argv);
     if (one_market->parsed()) return serve(file, name, listen);
+    if (h->parsed()) return histories(from, seeds, threads);
     if (g->parsed()) return agreed(file, seeds, threads);
     if (c->parsed()) return cluster(file, fleet, seeds, threads, report, one, way);
     return markets(file, seeds, threads, report, one, policy);
--- a/include/oxbowmill/lab/fleet_world.h
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -36,8 +36,17 @@
   cancel,         // users cancel `share` of the running jobs
   gang_member,    // the first machine of `count` gangs dies
   late_reports,   // reports of `count` machines are held back here and delivered after `for_s`
+  late_copies,    // of `share` of the reports a copy comes again, from 2 s to well over a lease later
+  late_writes,    // `share` of the transactions get no answer and are carried out 2 to 12 s later
+  held_up,        // `share` of answers and commands to workers take up to 6 s
+  machines_deaf,  // their reports arrive, answers and commands to them do not
+  owner_refused,  // the state service refuses the owner of the most machines
+  owner_alone,    // that owner has neither state service nor peers
+  state_delay,    // the state service answers after `stagger_s`
 };
 
+const char* name_of(FaultKind k);
+
 struct Fault {
   double at_s = 0;
   FaultKind kind = FaultKind::all_down;
@@ -58,6 +67,9 @@
   double gangs_a_s = 0.45, arrays_a_s = 0.8;  // arrivals
   double gang_s = 150, array_s = 70;          // medians of run times
   double guaranteed_gpus = 1200, most_gpus = 3500;
+  double few = 0;          // share of the arrays that have one to three tasks, which end far apart
+  double withdrawn = 0;    // share of the jobs that their users withdraw, some time after submission
+  double hold_life_s = 0;  // 0: the default; shortened where cancel_s asks for it, as settings are
   std::vector<Fault> faults;
 };
 /// Reads the faults from one file and the cluster that has them from another (YAML); throws yaml::Error with
@@ -77,7 +89,8 @@
   double lost_s = 0;         // run time that has to be repeated
   std::uint32_t suspected = 0, returned = 0, condemned_alive = 0;
   double squared_s = -1;            // from the first fault until every part was squared; below 0: not
-  std::vector<std::string> broken;  // rules
+  std::uint32_t answers = 0, refusals = 0;  // users' questions
+  std::vector<std::string> broken;          // rules
 };
 
 class FleetWorld {
--- a/include/oxbowmill/lab/worker.h
+++ b/include/oxbowmill/lab/worker.h
@@ -1,6 +1,7 @@
 // Stand-in for a worker: tasks, tokens, sessions and the lease, as the protocol describes them.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -15,8 +16,10 @@
   std::map<std::string, std::set<std::string>> on;  // task -> machines
   std::vector<std::string> twice;
   std::map<std::string, int> starts;
+  /// Sees each start (true) and each end of a task on a machine as well.
+  std::function<void(const std::string& task, const std::string& machine, bool on)> watcher;
   void start(const std::string& task, const std::string& machine);
-  void end(const std::string& task, const std::string& machine) { on[task].erase(machine); }
+  void end(const std::string& task, const std::string& machine);
 };
 
 class Worker {
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -6,6 +6,11 @@
   ++starts[task];
   on[task].insert(machine);
   if (on[task].size() > 1) twice.push_back(task);
+  if (watcher) watcher(task, machine, true);
+}
+
+void RunLog::end(const std::string& task, const std::string& machine) {
+  if (on[task].erase(machine) != 0 && watcher) watcher(task, machine, false);
 }
 
 Worker::Worker(std::string name, std::string zone, RunLog& log, bool spot)
--- /dev/null
+++ b/tests/histories_test.cpp
@@ -0,0 +1,329 @@
+// The rules' checker, and a small cluster through meetings of troubles (docs/meetings.md), each swept over the moment
+// at which the second trouble strikes.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "oxbowmill/lab/crew.h"
+#include "oxbowmill/lab/histories.h"
+#include "oxbowmill/lab/rules.h"
+
+namespace oxbowmill {
+namespace {
+
+using lab::Fault;
+using lab::FaultKind;
+using lab::FleetScenario;
+using lab::Rules;
+using lab::Told;
+
+// --- The checker.
+
+struct Breach {
+  const char* rule;  // none: nothing is broken
+  const char* what;
+  std::function<void(Rules&)> history;
+};
+
+const Rules::Terms two{0, 2, 1, true, false};
+
+TEST(RulesChecker, FindsEachRuleThatIsBrokenAndNoOther) {
+  auto run = [](Rules& r, std::uint32_t task, const char* machine, double from, double to) {
+    r.starts("j", task, machine, {"a", false}, from);
+    r.leaves("j", task, machine, to);
+  };
+  auto accepted = [](Rules& r, double at) {
+    r.submits("j", two);
+    r.told("j", Told::open, at);
+  };
+  const Breach breaches[] = {
+      {"", "runs to its end",
+       [&](Rules& r) {
+         accepted(r, 1);
+         for (std::uint32_t t : {0U, 1U}) {
+           run(r, t, "m1", 2, 9);
+           r.completes("j", t);
+         }
+         r.told("j", Told::done, 10);
+         r.told("j", Told::done, 200);
+       }},
+      {"", "cancelled in time, and started elsewhere after it left",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.starts("j", 0, "m2", {"a", false}, 3);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         r.leaves("j", 0, "m2", 24.9);
+       }},
+      {"", "refused for long, but not since the troubles ended",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.quiet_from(300);
+         r.told("j", Told::nothing, 10);
+         r.check(370);
+         r.told("j", Told::open, 371);
+         r.check(500);
+       }},
+      {"ran_twice", "on two machines",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.starts("j", 0, "m2", {"a", false}, 3);
+       }},
+      {"ran_twice", "twice on one",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.starts("j", 0, "m1", {"a", false}, 3);
+       }},
+      {"quota", "beyond its team's limit",
+       [&](Rules& r) {
+         r.submits("j", {0, 4, 2, false, true});
+         for (std::uint32_t t : {0U, 1U, 2U}) r.starts("j", t, "m1", {"a", false}, 2);
+       }},
+      {"wrong_place", "in another zone than its other task",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.starts("j", 1, "m2", {"b", false}, 3);
+       }},
+      {"wrong_place", "on a spot machine",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", true}, 2);
+       }},
+      {"ran_cancelled", "there too long, and never gone",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         r.check(25);
+         EXPECT_TRUE(r.broken().empty());
+         r.check(25.5);
+       }},
+      {"ran_cancelled", "gone between two looks, but too late",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         r.leaves("j", 0, "m1", 25.5);
+       }},
+      {"ran_cancelled", "started long after",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         run(r, 0, "m1", 26, 26);
+       }},
+      {"forgotten", "unknown after it was accepted",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.told("j", Told::absent, 4);
+       }},
+      {"forgotten", "its repeat is refused for good",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.told("j", Told::rejected, 4);
+       }},
+      {"forgotten", "no answer once the troubles are over",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.quiet_from(50);
+         r.told("j", Told::nothing, 40);
+         r.check(124);
+         EXPECT_TRUE(r.broken().empty());
+         r.check(126);
+       }},
+      {"invented", "nobody submitted it",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.told("k", Told::open, 4);
+       }},
+      {"not_done", "a task of it is not done",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.completes("j", 0);
+         r.told("j", Told::done, 4);
+       }},
+      {"went_back", "runs after it was cancelled",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 4);
+         r.told("j", Told::open, 5);
+       }},
+      {"went_back", "cancelled, and nobody asked for that",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.told("j", Told::cancelled, 4);
+       }},
+      {"nothing_ran", "no task was ever started", [&](Rules& r) { accepted(r, 1); }},
+  };
+  for (const Breach& b : breaches) {
+    Rules r(20, {4});
+    b.history(r);
+    r.close();
+    std::string rule = b.rule;
+    if (rule.empty()) {
+      EXPECT_TRUE(r.broken().empty()) << b.what << ": " << r.broken().front();
+    } else {
+      ASSERT_EQ(r.broken().size(), 1U) << b.what;
+      EXPECT_EQ(r.broken()[0].substr(0, rule.size()), rule) << b.what;
+    }
+  }
+}
+
+// --- Meetings.
+
+/// Plays all of them, several at a time; what broke, with the script that brings it about.
+std::vector<std::string> breaches(const std::vector<FleetScenario>& all, std::uint64_t seeds) {
+  std::vector<std::string> out(all.size() * seeds);
+  lab::in_parallel(out.size(), 2, [&](std::size_t i) {
+    const FleetScenario& s = all[i / seeds];
+    std::uint64_t seed = 1 + i % seeds;
+    lab::FleetResult r = lab::FleetWorld(s, lab::Way::now, seed).run();
+    if (!r.broken.empty()) out[i] = r.broken[0] + ", seed " + std::to_string(seed) + "\n" + lab::script(s);
+    // A history in which nothing was asked or done shows nothing.
+    if (r.answers < 50 || r.done[0] + r.done[1] == 0) out[i] += "hardly anything was done or answered: " + std::to_string(r.done[0] + r.done[1]) + " tasks, " +
+                std::to_string(r.answers) + " answers\n" + lab::script(s);
+  });
+  out.erase(std::remove(out.begin(), out.end(), ""), out.end());
+  return out;
+}
+
+/// Two troubles or more, of which those with `moves` strike at a moment that is swept.
+struct Meeting {
+  const char* name;
+  std::vector<Fault> first, then;
+};
+
+Fault fault(FaultKind kind, double at, double for_s, double share = 0, double stagger = 0) {
+  Fault f;
+  f.kind = kind;
+  f.at_s = at;
+  f.for_s = for_s;
+  f.share = share;
+  f.stagger_s = stagger;
+  return f;
+}
+
+using K = FaultKind;
+
+/// LATER.md's list, in its order.
+std::vector<Meeting> meetings() {
+  return {
+      {"CommandsHeldUpAndMachinesThatGoOn",
+       {fault(K::held_up, 0, 60, 0.4), fault(K::machines_hang, 4, 11, 0.4)},
+       {fault(K::owner_down, 2, 3), fault(K::machines_hang, 6, 9, 0.4)}},
+      {"FewTasksThatEndFarApartAndAChangeOfLeader",
+       {fault(K::late_copies, 0, 60, 0.3)},
+       {fault(K::owner_down, 0, 5), fault(K::owner_down, 9, 5), fault(K::owner_down, 20, 0.5)}},
+      {"WritesCarriedOutLateAndOwnersThatEnd",
+       {fault(K::late_writes, 0, 50, 0.4)},
+       {fault(K::owner_down, 0, 1), fault(K::all_down, 8, 0.5, 0, 0.4), fault(K::cancel, 4, 0, 0.5)}},
+      {"ALeaderAloneWithWorkersAndUsersWhileJobsAreCancelled",
+       {fault(K::owner_alone, 0, 30)},
+       {fault(K::cancel, 1, 0, 0.6), fault(K::cancel, 7, 0, 0.6), fault(K::state_outage, 9, 45)}},
+      {"HandedOverAndBackAllEndAndOneReturns",
+       {fault(K::owner_down, 0, 0.6), fault(K::late_copies, 0, 60, 0.3)},
+       {fault(K::owner_down, 0.7, 8), fault(K::all_down, 2, 0.3, 0, 6), fault(K::owner_down, 4, 0.3)}},
+      {"ReportsOfEarlierSessionsAndAttempts",
+       {fault(K::late_copies, 0, 70, 0.6), fault(K::machines_hang, 0, 13, 0.5)},
+       {fault(K::owner_down, 1, 4), fault(K::machines_deaf, 4, 25, 0.4), fault(K::owner_down, 15, 4)}},
+      {"ASlowStateServiceThatRefusesTheLeaderAndThenEverybody",
+       {fault(K::state_delay, 0, 25, 0, 1.2), fault(K::owner_refused, 6, 14)},
+       {fault(K::cancel, 6.5, 0, 0.6), fault(K::state_outage, 7.5, 50), fault(K::cancel, 12, 0, 0.6)}},
+      {"ALeaderThatEndsWhileMachinesCannotBeReachedOrDoNotHear",
+       {fault(K::machines_deaf, 0, 50, 0.4), fault(K::machines_hang, 2, 14, 0.3)},
+       {fault(K::owner_down, 3, 4), fault(K::machines_deaf, 8, 40, 0.4), fault(K::owner_down, 12, 4)}},
+  };
+}
+
+class LaterMeeting : public testing::TestWithParam<std::size_t> {};
+
+TEST_P(LaterMeeting, BreaksNoRule) {
+  Meeting m = meetings()[GetParam()];
+  std::vector<FleetScenario> all;
+  for (double moment : {0.0, 0.3, 0.9, 1.7, 2.6, 3.8, 5.5, 9.0}) {
+    FleetScenario s = lab::meeting_place();
+    s.faults = m.first;
+    for (Fault f : m.then) {
+      f.at_s += moment;
+      s.faults.push_back(f);
+    }
+    for (Fault& f : s.faults) f.at_s += s.warm_s;
+    lab::leave_time(s);
+    all.push_back(s);
+  }
+  for (const std::string& b : breaches(all, 6)) ADD_FAILURE() << b;
+}
+
+INSTANTIATE_TEST_SUITE_P(Meetings, LaterMeeting, testing::Range<std::size_t>(0, 8),
+                         [](const auto& p) { return std::string(meetings()[p.param].name); });
+
+/// The gap: the state service refuses the leader alone, cancellations are confirmed through others, then it is down
+/// for all, for longer than cancel_s, while workers report to the old leader.
+class Gap : public testing::TestWithParam<int> {};
+
+struct Times {
+  double lease_s, cancel_s, hold_life_s;
+};
+const Times gap_times[] = {
+    {12, 36, 4},     // grace at its longest
+    {12, 24, 4},     // some
+    {12, 16.1, 4},   // the shortest that is accepted: the hold is cut down to a second, and there is no grace
+    {12, 19.1, 4},   // no grace
+    {36, 61, 4},     // the large fleets'
+    {6, 60, 20},     // a hold far longer than a lease
+};
+
+TEST_P(Gap, CancelledWorkIsGoneWithinTheLimit) {
+  const Times& t = gap_times[GetParam()];
+  std::vector<FleetScenario> all;
+  for (double outage_after : {0.5, 2.0, 5.0, 8.0, 14.0}) {
+    for (double cancel_after : {0.2, 1.5, 4.5}) {
+      if (cancel_after >= outage_after) continue;
+      for (double longer : {2.0, 40.0}) {
+        FleetScenario s = lab::meeting_place();
+        s.lease_s = t.lease_s;
+        s.cancel_s = t.cancel_s;
+        s.hold_life_s = t.hold_life_s;
+        double at = s.warm_s;
+        s.faults = {fault(K::owner_refused, at, 14), fault(K::cancel, at + cancel_after, 0, 0.8),
+                    fault(K::cancel, at + outage_after - 0.3, 0, 0.8),
+                    fault(K::state_outage, at + outage_after, s.cancel_s + longer)};
+        lab::leave_time(s);
+        all.push_back(s);
+      }
+    }
+  }
+  for (const std::string& b : breaches(all, 4)) ADD_FAILURE() << b;
+}
+
+INSTANTIATE_TEST_SUITE_P(Meetings, Gap, testing::Range(0, 6));
+
+TEST(Histories, RandomTroublesBreakNoRule) {
+  std::vector<std::string> broken(240);
+  lab::in_parallel(broken.size(), 2, [&](std::size_t i) {
+    std::uint64_t seed = 1 + i;
+    FleetScenario s = lab::random_history(seed);
+    lab::FleetResult r = lab::FleetWorld(s, lab::Way::now, seed).run();
+    if (!r.broken.empty()) broken[i] = r.broken[0] + "; needs\n" + lab::script(lab::shrunk(s, seed));
+  });
+  for (std::size_t i = 0; i < broken.size(); ++i) EXPECT_EQ(broken[i], "") << "seed " << 1 + i;
+}
+
+}  // namespace
+}  // namespace oxbowmill
