--- a/include/oxbowmill/lab/fleet_world.h
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -81,6 +81,14 @@
   std::uint32_t returns = 0, rentals = 0, starts = 0, kills = 0, changes = 0;
 };
 
+/// Jobs that were accepted, not withdrawn, and early enough to begin; begun with all their tasks, by starts that were
+/// not stopped within 30 s (PROTOCOL, "How aims are counted").
+struct Served {
+  std::uint32_t jobs = 0, begun = 0;
+  double longest_wait_s = 0;  // of what has not begun: so far
+  void count(double wait_s, bool has_begun);
+};
+
 struct FleetResult {
   std::vector<Second> seconds;
   std::array<std::uint32_t, 2> done{}, of_class{};  // tasks by class: gang, array
@@ -89,6 +97,8 @@
   double lost_s = 0;         // run time that has to be repeated
   std::uint32_t suspected = 0, returned = 0, condemned_alive = 0;
   double squared_s = -1;            // from the first fault until every part was squared; below 0: not
+  std::array<Served, 2> class_served, team_served;
+  std::array<Served, 2> largest_served;     // of each class the tenth that is largest by tasks x GPUs
   std::uint32_t answers = 0, refusals = 0;  // users' questions
   std::vector<std::string> broken;          // rules
 };
--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -101,6 +101,12 @@
   return s;
 }
 
+void Served::count(double wait_s, bool has_begun) {
+  ++jobs;
+  begun += has_begun ? 1 : 0;
+  longest_wait_s = std::max(longest_wait_s, wait_s);
+}
+
 struct FleetWorld::Impl {
   struct Node {
     std::unique_ptr<Controller> core;  // none: down
@@ -147,6 +153,9 @@
     std::map<TaskNo, double> saved;  // progress in a checkpoint
     double gang_started = -1, gang_saved = 0, gang_lost_at = -1;
     std::set<TaskNo> done;
+    double submitted = 0;
+    std::map<TaskNo, double> begun;  // when, of each task that has run for long enough to count
+    void note_begun(TaskNo t, double at) { begun.try_emplace(t, at); }
   };
 
   Impl(const FleetScenario& scenario, Way way_, std::uint64_t seed)
@@ -585,6 +594,7 @@
     spec.image_gb = image_gb[info.image];
     spec.submitted_at = now + wall_ahead;
     info.tasks = spec.tasks;
+    info.submitted = now;
     info.gpus = spec.need.gpus;
     if (cls == 1 && s.few > 0 && lucky(s.few)) {
       spec.tasks = info.tasks = 1 + static_cast<std::uint32_t>(drawn(0, 2.999));
@@ -607,7 +617,7 @@
     std::string ref;
     Json value;
     double next = 0, withdraws_at = 1e18;
-    bool accepted = false, over = false;
+    bool accepted = false, over = false, withdrawn = false;
   };
 
   void tick_users() {
@@ -618,7 +628,10 @@
       Node& n = nodes[k];
       bool serves = acts(n) && n.listed;
       bool withdraws = u.accepted && now >= u.withdraws_at;
-      if (withdraws) rules.withdraws(u.ref);
+      if (withdraws) {
+        u.withdrawn = true;
+        rules.withdraws(u.ref);
+      }
       if (serves) what = !u.accepted ? submit(n, u) : withdraws ? withdraw(n, u) : poll(n, u.ref);
       rules.told(u.ref, what, now);
       u.next = now + (what == Told::nothing ? 1.5 : 5);
@@ -879,6 +892,7 @@
             r.started = now;
             h.worker->set_phase(id, TaskPhase::running);
           }
+          if (now - r.started >= begun_after_s) j.note_begun(t, r.started);
           if (now - r.started >= std::max(1.0, j.run_of(t) - j.saved[t])) ended.push_back(t);
           count_gpus(j, 1);
         } else if (j.gang_started < 0 && h.worker->phase(id) == TaskPhase::fetching) {
@@ -906,6 +920,9 @@
       for (auto& [t, r] : j.runs) r.at->worker->set_phase(r.id, TaskPhase::running);
     }
     count_gpus(j, j.runs.size());
+    if (now - j.gang_started >= begun_after_s) {
+      for (auto& [t, r] : j.runs) j.note_begun(t, j.gang_started);
+    }
     bool hangs = std::any_of(j.runs.begin(), j.runs.end(),
                              [&](const auto& r) { return now < r.second.at->hung_until; });
     if (hangs) {
@@ -923,6 +940,7 @@
     h.worker->finish(j.runs.at(t).id, cause);
     h.next_report = std::min(h.next_report, now + 0.3);
     if (cause == EndCause::done) rules.completes(split(j.runs.at(t).id).first, t);
+    if (cause == EndCause::done) j.note_begun(t, j.cls == 0 ? j.gang_started : j.runs.at(t).started);
     if (cause == EndCause::done && j.done.insert(t).second) {
       ++result.done[j.cls];
       ++result.of_team[j.team];
@@ -1171,6 +1189,7 @@
     }
     for (const auto& [ref, j] : jobs) result.of_class[j.cls] += j.tasks;
     for (Node& n : nodes) collect(n);
+    count_served();
     rules.close();
     result.broken = rules.broken();
     result.answers = rules.answers;
@@ -1178,6 +1197,26 @@
     return result;
   }
 
+  /// By job, from outside: who was served, and how late the last of their tasks began.
+  void count_served() {
+    std::array<std::vector<double>, 2> sizes;
+    for (const auto& [ref, j] : jobs) sizes[j.cls].push_back(j.tasks * j.gpus);
+    std::array<double, 2> large{};
+    for (std::size_t c = 0; c < sizes.size(); ++c) {
+      std::sort(sizes[c].begin(), sizes[c].end());
+      if (!sizes[c].empty()) large[c] = sizes[c][sizes[c].size() * 9 / 10];
+    }
+    for (const User& u : users) {
+      const JobInfo& j = jobs.at(u.ref);
+      if (!u.accepted || u.withdrawn || now - j.submitted < s.boot_s + 2 * begun_after_s) continue;
+      bool begun = j.begun.size() == j.tasks;
+      double last = begun ? 0 : now;
+      for (const auto& [t, at] : j.begun) last = std::max(last, at);
+      for (Served* x : {&result.class_served[j.cls], &result.team_served[j.team]}) x->count(last - j.submitted, begun);
+      if (j.tasks * j.gpus >= large[j.cls]) result.largest_served[j.cls].count(last - j.submitted, begun);
+    }
+  }
+
   void note_squared() {
     double at = -1;
     std::uint32_t owned = 0;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -544,6 +544,33 @@
   return n;
 });
 
+/// The users' acceptance by job, which the bench does not report: half of each class, of each team and of each class's
+/// largest jobs is served, and whatever can run begins within 240 s.
+class Acceptance : public testing::TestWithParam<std::string> {};
+
+TEST_P(Acceptance, HalfOfEachIsServedAndAllBeginInTime) {
+  std::string dir = std::string(DEPLOY_DIR) + "/lab/";
+  auto s = lab::load_fleet_scenario(dir + "cluster/" + GetParam() + ".yaml", dir + "fleets/small.yaml");
+  for (lab::Fault& f : s.faults) f.count = f.count / 10;
+  s.length_s = 420;
+  lab::FleetResult r = lab::FleetWorld(s, lab::Way::now, 1).run();
+  for (std::size_t i : {0, 1}) {
+    for (const lab::Served& x : {r.class_served[i], r.team_served[i], r.largest_served[i]}) {
+      EXPECT_GT(x.jobs, 0U) << i;
+      EXPECT_GE(2 * x.begun, x.jobs) << i;
+      EXPECT_LE(x.longest_wait_s, 240) << i << ": " << x.begun << " of " << x.jobs << " have begun";
+    }
+  }
+  EXPECT_GT(r.answers, r.refusals);
+  EXPECT_TRUE(r.broken.empty()) << r.broken.front();
+}
+
+INSTANTIATE_TEST_SUITE_P(Scenarios, Acceptance, testing::ValuesIn(scenarios()), [](const auto& p) {
+  std::string n = p.param;
+  std::replace(n.begin(), n.end(), '-', '_');
+  return n;
+});
+
 /// Whatever machines do, one that has spoken of late is not suspected, and nothing is proved by doubt alone.
 RC_GTEST_PROP(StartProps, DoubtNeedsSilenceAndProvesNothing, ()) {
   Started s(8);
