--- a/tests/histories_test.cpp
+++ b/tests/histories_test.cpp
@@ -314,6 +314,37 @@
 
 INSTANTIATE_TEST_SUITE_P(Meetings, Gap, testing::Range(0, 6));
 
+/// An election that is broken off at each of its steps: own past ended, hold taken, registered, claim sent, durable but
+/// unanswered, tables read, first answer. The world's steps are of a tenth of a second, each moment of five seconds is
+/// tried, and what ends is back within three tenths.
+class Election : public testing::TestWithParam<std::uint32_t> {};
+
+TEST_P(Election, BrokenOffAtEachStepLosesNothing) {
+  std::vector<FleetScenario> all;
+  for (int tenth = 1; tenth <= 50; ++tenth) {
+    double moment = 0.1 * tenth;
+    const std::vector<std::vector<Fault>> ways = {
+        {fault(K::owner_down, moment, 0.3)},
+        {fault(K::all_down, moment, 0.1, 0, 0.05)},
+        {fault(K::all_down, moment, 0.2), fault(K::all_down, moment + 0.4, 0.1, 0, 0.1),
+         fault(K::all_down, moment + 1.1, 0.3)}};
+    for (const std::vector<Fault>& then : ways) {
+      FleetScenario s = lab::meeting_place();
+      s.controllers = GetParam();
+      // Old messages come late, requests that were carried out are repeated.
+      s.faults = {fault(K::late_copies, -5, 30, 0.3), fault(K::late_writes, -5, 30, 0.3),
+                  fault(K::owner_down, 0, 0.2)};
+      s.faults.insert(s.faults.end(), then.begin(), then.end());
+      for (Fault& f : s.faults) f.at_s += s.warm_s;
+      lab::leave_time(s);
+      all.push_back(s);
+    }
+  }
+  for (const std::string& b : breaches(all, 1)) ADD_FAILURE() << b;
+}
+
+INSTANTIATE_TEST_SUITE_P(Meetings, Election, testing::Values(3U, 7U));
+
 TEST(Histories, RandomTroublesBreakNoRule) {
   std::vector<std::string> broken(240);
   lab::in_parallel(broken.size(), 2, [&](std::size_t i) {
