--- a/include/oxbowmill/lab/fleet_world.h
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -69,6 +69,7 @@
   double guaranteed_gpus = 1200, most_gpus = 3500;
   double few = 0;          // share of the arrays that have one to three tasks, which end far apart
   double withdrawn = 0;    // share of the jobs that their users withdraw, some time after submission
+  double gang_wait_s = 30;
   double hold_life_s = 0;  // 0: the default; shortened where cancel_s asks for it, as settings are
   std::vector<Fault> faults;
 };
--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -75,6 +75,7 @@
   r.get("txn_ops", s.txn_ops).get("gangs", s.gangs).get("arrays", s.arrays).get("gangs_a_s", s.gangs_a_s);
   r.get("arrays_a_s", s.arrays_a_s).get("gang_s", s.gang_s).get("array_s", s.array_s);
   r.get("guaranteed_gpus", s.guaranteed_gpus).get("most_gpus", s.most_gpus);
+  r.get("gang_wait_s", s.gang_wait_s);
   r.get("few", s.few).get("withdrawn", s.withdrawn).get("hold_life_s", s.hold_life_s);
   r.done();
 }
@@ -143,7 +144,7 @@
   struct Run {
     std::string host, id;
     Host* at = nullptr;
-    double ready_at = 0, started = -1;
+    double ready_at = 0, started = -1, gathers_since = -1;
   };
   struct JobInfo {
     std::uint32_t cls = 0, team = 0, tasks = 0, image = 0;
@@ -208,6 +209,7 @@
     x.report_s = s.report_s;
     x.lease_s = s.lease_s;
     x.cancel_s = s.cancel_s;
+    x.gang_wait_s = s.gang_wait_s;
     if (s.hold_life_s > 0) x.op.hold_life_s = s.hold_life_s;
     x.op.hold_life_s = std::min(x.op.hold_life_s, x.cancel_s - x.lease_over_s() - 2 * Settings::margin_s);
     x.state_rps = 4 * s.write_rps;
@@ -809,7 +811,7 @@
       double& fetched =
           h.images.try_emplace(j.image, now + image_gb[j.image] / s.fetch_gb_per_s * uniform(0.8, 1.2))
               .first->second;
-      j.runs[t.task] = {name, id, &h, std::max(now, fetched), -1};
+      j.runs[t.task] = {name, id, &h, std::max(now, fetched), -1, -1};
     }
   }
 
@@ -873,7 +875,7 @@
         j.gang_lost_at = -1;
         continue;
       }
-      std::vector<TaskNo> ended;
+      std::vector<TaskNo> ended, gave_up;
       bool all_ready = j.runs.size() == j.tasks;
       for (auto& [t, r] : j.runs) {
         Host& h = *r.at;
@@ -897,10 +899,16 @@
           count_gpus(j, 1);
         } else if (j.gang_started < 0 && h.worker->phase(id) == TaskPhase::fetching) {
           h.worker->set_phase(id, TaskPhase::gathering);
+          r.gathers_since = now;
+        } else if (j.gang_started < 0 && r.gathers_since >= 0 && now - r.gathers_since > s.gang_wait_s) {
+          gave_up.push_back(t);
         }
       }
       if (j.cls == 0) tick_gang(j, all_ready, ended);
       for (TaskNo t : ended) finish(j, t, EndCause::done);
+      for (TaskNo t : gave_up) {
+        if (j.gang_started < 0 && j.runs.count(t) != 0) finish(j, t, EndCause::incomplete);
+      }
     }
   }
 
--- a/src/lab/histories.cpp
+++ b/src/lab/histories.cpp
@@ -36,6 +36,7 @@
   s.most_gpus = 48;
   s.few = 0.7;
   s.withdrawn = 0.3;
+  s.gang_wait_s = 3;  // shorter than images differ in their fetch: members give up and come back
   s.length_s = s.warm_s;
   return s;
 }
