Polls do not wait for changes behind submissions

Cause: users' calls went out in one order, so that while changes were scarce a submission at the head held every poll behind it until they were refused after 0.8 s; a job that was over, answered by reads alone, could get none anywhere. Change: of equal urgency, what changes nothing does not wait for changes.

--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -73,15 +73,22 @@
     while (!q.empty()) {
       // What waits here goes in order of urgency; what waits for a connection does not.
       if (calls_.full()) return;
-      double wait = std::max(requests_.wait_for(1, now),
-                             q.front().changes > 0 ? changes_.wait_for(q.front().changes, now) : 0);
+      // What changes nothing does not wait for changes: behind a burst of submissions, polls of jobs that
+      // were over waited until they were refused, while others were answered from the tables.
+      auto next = q.begin();
+      double wait = requests_.wait_for(1, now);
+      double for_changes = next->changes > 0 ? changes_.wait_for(next->changes, now) : 0;
+      if (wait <= 0 && for_changes > 0) {
+        next = std::find_if(q.begin(), q.end(), [](const Call& c) { return c.changes == 0; });
+        if (next == q.end()) wait = for_changes;
+      }
       if (wait > 0) {
         if (!timer_.pending()) timer_.after(wait + 0.002);
         // Less urgent calls must not overtake by being smaller.
         return;
       }
-      Call call = std::move(q.front());
-      q.pop_front();
+      Call call = std::move(*next);
+      q.erase(next);
       requests_.take(1, now);
       if (call.changes > 0) changes_.take(call.changes, now);
       send(calls_, std::move(call));
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -59,5 +59,24 @@
   EXPECT_EQ(placements, 0);  // only users are told to come back
 }
 
+TEST(Store, QuestionsDoNotWaitForChangesBehindSubmissions) {
+  Mute mute;
+  auto base = net::make_base();
+  double now = 100;
+  Settings settings;
+  state::Store store(base.get(), {"127.0.0.1", mute.port}, settings, [&now] { return now; });
+  const wire::Json submission = {{"guards", wire::Json::array()},
+                                 {"apply", {{{"put", "o/j/run-1"}, {"value", 1}}}}};
+  for (int i = 0; i < 25; ++i) store.txn(submission, Urgency::user, [](const state::StoreAnswer&) {});
+  std::size_t waiting = store.backlog();
+  ASSERT_GT(waiting, 5U) << "changes are scarce";
+  store.get("f/run-2", Urgency::user, [](const state::StoreAnswer&) {});
+  EXPECT_EQ(store.backlog(), waiting) << "it has gone out";
+  // Nor does what is more urgent make room for it.
+  store.txn(submission, Urgency::claim, [](const state::StoreAnswer&) {});
+  store.get("f/run-3", Urgency::user, [](const state::StoreAnswer&) {});
+  EXPECT_EQ(store.backlog(), waiting + 2) << "a claim waits for changes, and what is less urgent behind it";
+}
+
 }  // namespace
 }  // namespace oxbowmill
