--- a/app/main.cpp
+++ b/app/main.cpp
@@ -24,11 +24,11 @@
 
 /// The calendar is read again on SIGHUP; one that cannot be read leaves the old one in force.
 struct Reload {
-  oxbowmill::service::Node& node;
+  oxbowmill::service::Node* node = nullptr;
   const std::vector<std::string>& files;
   void read() const {
     try {
-      node.load_calendar(oxbowmill::config::load_calendar(files));
+      node->load_calendar(oxbowmill::config::load_calendar(files));
     } catch (const std::exception& e) {
       SPDLOG_ERROR("calendar not read again: {}", e.what());
     }
@@ -69,14 +69,17 @@
   }
   try {
     auto base = oxbowmill::net::make_base();
-    oxbowmill::service::Node node(base.get(), std::move(config));
-    Reload reload{node, operator_files};
+    // Before the log says that it listens: a signal that came sooner ended the controller. It is read once
+    // the loop runs, and by then there is a node.
+    Reload reload{nullptr, operator_files};
     std::unique_ptr<event, void (*)(event*)> hangup(
         evsignal_new(
             base.get(), SIGHUP,
             [](evutil_socket_t, short, void* r) { static_cast<Reload*>(r)->read(); }, &reload),
         event_free);
     event_add(hangup.get(), nullptr);
+    oxbowmill::service::Node node(base.get(), std::move(config));
+    reload.node = &node;
     event_base_dispatch(base.get());
   } catch (const std::exception& e) {
     SPDLOG_ERROR("cannot run: {}", e.what());
