--- a/include/oxbowmill/lab/rules.h
+++ b/include/oxbowmill/lab/rules.h
@@ -39,6 +39,8 @@
   void leaves(const std::string& job, std::uint32_t number, const std::string& machine, double now);
   /// It has completed.
   void completes(const std::string& job, std::uint32_t number) { jobs_[job].done.insert(number); }
+  /// Whether the state service holds the job under either of its keys.
+  void stored(const std::string& job, bool there, double now);
   /// From now on nothing is in trouble (or, with a time ahead, from then on).
   void quiet_from(double at) { quiet_from_ = at; }
   /// What time alone brings about.
--- a/include/oxbowmill/service/view.h
+++ b/include/oxbowmill/service/view.h
@@ -21,7 +21,6 @@
   /// The answer to a watch that was opened then has been.
   void watched(Stamp revision, Seconds asked);
 
-  SyncState state() const { return state_; }
   bool live() const { return state_ == SyncState::live; }
   /// The tables hold everything up to this revision,
   Stamp revision() const { return revision_; }
--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -375,10 +375,11 @@
 
   /// The transaction gets no answer, and is carried out after newer ones.
   bool loses(const Json& body) {
-    if (now >= late_writes_until || !lucky(late_write_share)) return false;
+    if (!loses_one()) return false;
     late_writes.push_back({now + drawn(2, 12), body});
     return true;
   }
+  bool loses_one() { return now < late_writes_until && lucky(late_write_share); }
 
   void end_past(Node& n, Controller& c) {
     std::set<std::uint64_t> holds;
@@ -457,7 +458,7 @@
   }
 
   bool loses_next(Controller& c, const Write& w) {
-    if (now >= late_writes_until || !lucky(late_write_share)) return false;
+    if (!loses_one()) return false;
     c.fate = Fate::not_arrived;
     c.send(w);
     c.fate = Fate::answered;
@@ -1196,6 +1197,11 @@
       if (i % 10 == 0) {
         result.seconds.push_back({});
         rules.check(now);
+        for (const User& u : users) {
+          const auto& keys = state.keys();
+          rules.stored(u.ref, keys.count(state::job_key(u.ref)) + keys.count(state::final_key(u.ref)) != 0,
+                       now);
+        }
       }
       now = static_cast<double>(i + 1) * step_s;
       tick_faults();
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -76,6 +76,13 @@
   }
 }
 
+void Rules::stored(const std::string& job, bool there, double now) {
+  Job& j = jobs_[job];
+  if (there || !j.accepted || j.forgotten) return;
+  j.forgotten = true;  // said once
+  breaks("forgotten", job, now);
+}
+
 void Rules::check(double now) {
   for (auto it = cancelled_.begin(); it != cancelled_.end();) {
     Job& j = jobs_[*it];
--- a/tests/histories_test.cpp
+++ b/tests/histories_test.cpp
@@ -127,6 +127,15 @@
          run(r, 0, "m1", 2, 3);
          r.told("j", Told::absent, 4);
        }},
+      {"forgotten", "gone from the store, though nobody asks",
+       [&](Rules& r) {
+         r.stored("j", false, 0.5);  // not accepted yet
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.stored("j", true, 3);
+         r.stored("j", false, 4);
+         r.stored("j", false, 5);
+       }},
       {"forgotten", "its repeat is refused for good",
        [&](Rules& r) {
          accepted(r, 1);
