A repeat of an accepted job is not turned down, whatever its node thinks of it now

Cause: a submission was judged by the node's present catalog (and by the size of a record with the time of day in it) before anybody asked whether the job was known, so a repeat of an accepted job could get 422 or 400. Change: what a submission comes to by itself is a pure part (service/admission); a rejection that does not rest on the body alone is given only to a job that neither of its keys knows. A job that has to be in two zones and cannot (scatter with one zone) is turned down at once: it was accepted and would have waited for ever. Shown: loopback test with a catalog that shrank between acceptance and repeat; codec table.

--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -41,7 +41,8 @@
 
 /// Type, zone and kind, as the job allows them.
 bool allowed_on(const JobSpec& spec, TypeIndex type, ZoneIndex zone, bool spot);
-/// Some listed type and zone can hold one task (of a catalog that is known).
+/// Some listed type and zone can hold one task, and the zones are enough for a job that has to be in two (of a
+/// catalog that is known).
 bool can_ever_run(const JobSpec& spec, const std::vector<MachineType>& catalog);
 
 /// Tasks per zone as they are possibly placed now, old attempts included.
--- /dev/null
+++ b/include/oxbowmill/service/admission.h
@@ -0,0 +1,21 @@
+// What a submission comes to by itself, before anything is read or written. Pure.
+#pragma once
+
+#include "oxbowmill/wire/codec.h"
+
+namespace oxbowmill::service {
+
+struct Admission {
+  JobSpec spec;
+  wire::Json record;  // of the job, as it is to be stored
+  std::optional<wire::Rejection> rejection;
+  /// The body alone says so, at any node and time. Another rejection rests on what this node knows now (the
+  /// catalog, the time of day in the record), so that a repeat of a job accepted before may come to it.
+  bool for_good = false;
+};
+
+/// `wall`: time of day in seconds; `body`: a map.
+Admission admit(const wire::Json& body, Names& names, const Settings& settings,
+                const std::vector<MachineType>& catalog, double wall);
+
+}  // namespace oxbowmill::service
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -11,12 +11,15 @@
 }
 
 bool can_ever_run(const JobSpec& spec, const std::vector<MachineType>& catalog) {
+  std::set<ZoneIndex> zones;
   for (std::uint32_t t = 0; t < catalog.size(); ++t) {
     for (ZoneIndex z : catalog[t].zones) {
-      if (allowed_on(spec, TypeIndex{t}, z, false) && fits(spec.need, catalog[t].room)) return true;
+      if (allowed_on(spec, TypeIndex{t}, z, false) && fits(spec.need, catalog[t].room)) zones.insert(z);
     }
   }
-  return false;
+  // Half of two tasks or more is to be in another zone: one that must not be, or cannot, would wait for ever.
+  bool halves = spec.scatter && spec.tasks > 1;
+  return halves ? !spec.one_zone && zones.size() > 1 : !zones.empty();
 }
 
 std::vector<std::uint32_t> tasks_by_zone(const Model& model, const Job& job) {
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "oxbowmill/service/admission.h"
+
 namespace oxbowmill::service {
 
 using state::StoreAnswer;
@@ -95,23 +97,23 @@
   auto body = wire::decode_map(r.body);
   if (!body) return reject(r.responder, 400, "not a CBOR map within the size limit");
   if (overloaded()) return refuse(r.responder);
-  JobSpec spec;
-  if (auto rejection = wire::read_submission(*body, model_.names, spec)) {
-    return reject(r.responder, rejection->status, rejection->reason);
-  }
-  if (auto rejection = wire::check_runnable(spec, model_.settings, model_.catalog)) {
-    return reject(r.responder, rejection->status, rejection->reason);
-  }
-  spec.submitted_at = wall_();
-  Json value = state::job_value(spec, JobPhase::open, model_.names);
-  if (static_cast<double>(value.dump().size()) > model_.settings.value_kb * 1024) {
-    return reject(r.responder, 400, "too large");
+  Admission admission = admit(*body, model_.names, model_.settings, model_.catalog, wall_());
+  std::string ref = admission.spec.ref;
+  if (admission.rejection && admission.for_good)
+    return reject(r.responder, admission.rejection->status, admission.rejection->reason);
+  if (admission.rejection) {
+    // A repeat of a job that was accepted is never turned down, whatever this node thinks of it now: judged
+    // by a catalog that had changed since, it was told 422.
+    return ask(
+        ref, [this, ref, why = *admission.rejection, to = r.responder](const Question& q, EnquiryStep found) {
+          if (found == EnquiryStep::answer) return answer_status(ref, q.enquiry.phase(), to);
+          found == EnquiryStep::absent ? reject(to, why.status, why.reason) : refuse(to);
+        });
   }
-  std::string ref = spec.ref;
   // Guarded by both keys under which the job may be known: it is accepted once and never again.
   Json txn = {
       {"guards", {{{"k", state::job_key(ref)}, {"stamp", 0}}, {{"k", state::final_key(ref)}, {"stamp", 0}}}},
-      {"apply", {{{"put", state::job_key(ref)}, {"value", value}}}}};
+      {"apply", {{{"put", state::job_key(ref)}, {"value", admission.record}}}}};
   store_.txn(txn, Urgency::user, [this, ref, to = r.responder](const StoreAnswer& a) {
     if (a.status == 200) {
       SPDLOG_DEBUG("job {}: accepted", ref);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -107,6 +107,30 @@
   }
 }
 
+TEST(Codec, JobThatHasToBeInTwoZonesAndCannotIsTurnedDown) {
+  struct Case {
+    std::uint32_t tasks;
+    bool same_place, scatter;
+    const char* zone;
+    bool taken;
+  };
+  for (const Case& c :
+       {Case{2, false, true, nullptr, true}, Case{2, true, true, nullptr, false},
+        Case{2, false, true, "a", false}, Case{1, true, true, "a", true}, Case{2, true, false, "a", true}}) {
+    Json j = good_submission();
+    j["shards"] = c.tasks;
+    j["same_place"] = c.same_place;
+    j["scatter"] = c.scatter;
+    j["yard"] = c.zone == nullptr ? Json() : Json(c.zone);
+    Names names = lab::test_names();
+    JobSpec spec;
+    ASSERT_FALSE(wire::read_submission(j, names, spec));
+    auto rejection = wire::check_runnable(spec, lab::test_settings("n"), lab::test_catalog());
+    EXPECT_EQ(!rejection, c.taken) << c.tasks << c.same_place << c.scatter;
+    EXPECT_TRUE(!rejection || rejection->status == 422);
+  }
+}
+
 TEST(Codec, BodiesThatAreNoMapAreRefused) {
   std::string good = wire::encode(good_submission());
   EXPECT_TRUE(wire::decode_map(good));
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -119,7 +119,7 @@
     if (r.path == "/catalog") {
       out = {{"rigs",
               {{{"sku", "std"},
-                {"vcpus", 8.0},
+                {"vcpus", type_vcpus_},
                 {"accelerators", 2.0},
                 {"memory_gb", 32.0},
                 {"cache_gb", 50.0},
@@ -296,6 +296,7 @@
   int job_reads_ = 0;
   double hold_lives_ = 1;  // how many times its life a hold lasts here
   bool rented_ = false;    // the cloud has no more
+  double type_vcpus_ = 8;  // of its only type
   bool up_ = false, reporting_ = false, timed_out_ = false;
   net::Timer limit_, poll_;
   std::function<void()> step_;
@@ -416,6 +417,37 @@
   EXPECT_TRUE(log_.twice.empty());
 }
 
+TEST_F(Loopback, RepeatOfAnAcceptedJobIsNotTurnedDownWhateverTheCatalogSays) {
+  // The repeat comes to a process that knows a catalog in which the job would fit no machine.
+  int status = 0;
+  bool asking = false;
+  Json answer;
+  auto submit = [&](const std::string& ref, double vcpus) {
+    if (asking) return;
+    asking = true;
+    Json body = submission(ref);
+    body["vcpus"] = vcpus;
+    request(EVHTTP_REQ_POST, "/submissions", body, [&](int s, const Json& j) {
+      asking = false;
+      status = s;
+      answer = j;
+    });
+  };
+  auto answered = [&](int wanted) { return !asking && status == wanted; };
+  start_program();
+  until([&] { return answered(201); }, [&] { submit("run-1", 8); });
+  stop_program();
+  type_vcpus_ = 4;
+  start_program();
+  // One that was never accepted shows which catalog it knows, and is turned down.
+  std::uint64_t n = 1;
+  until([&] { return answered(422); }, [&] { submit("run-" + std::to_string(++n), 8); });
+  status = 0;
+  until([&] { return !asking && status != 0 && status != 503; }, [&] { submit("run-1", 8); });
+  EXPECT_EQ(status, 200);
+  EXPECT_EQ(answer.value("ref", ""), "run-1");
+}
+
 TEST_F(Loopback, ProgramHoldsAPairThroughAKillAndReadsItsCalendarAgain) {
   operators_ = ::testing::TempDir() + "oxbowmill-loop-" + std::to_string(::getpid()) + ".yaml";
   auto calendar = [this](int version, const std::string& french) {
@@ -434,15 +466,18 @@
           [&] {
             if (asking) return;
             asking = true;
-            request(EVHTTP_REQ_POST, "/submissions", [&] {
-              Json j = submission(ref);
-              j["shards"] = 1;
-              j["accelerators"] = 0.0;
-              return j;
-            }(), [&](int s, const Json&) {
-              asking = false;
-              status = s;
-            });
+            request(
+                EVHTTP_REQ_POST, "/submissions",
+                [&] {
+                  Json j = submission(ref);
+                  j["shards"] = 1;
+                  j["accelerators"] = 0.0;
+                  return j;
+                }(),
+                [&](int s, const Json&) {
+                  asking = false;
+                  status = s;
+                });
           });
   };
   for (const char* ref : {"run-3", "run-4", "run-1"}) submit(ref);
