--- a/include/oxbowmill/lab/fleet_world.h
+++ b/include/oxbowmill/lab/fleet_world.h
@@ -38,11 +38,20 @@
   late_reports,   // reports of `count` machines are held back here and delivered after `for_s`
   late_copies,    // of `share` of the reports a copy comes again, from 2 s to well over a lease later
   late_writes,    // `share` of the transactions get no answer and are carried out 2 to 12 s later
-  held_up,        // `share` of answers and commands to workers take up to 6 s
+  held_up,        // `share` of answers and commands to workers take up to `stagger_s`, or 6 s
   machines_deaf,  // their reports arrive, answers and commands to them do not
   owner_refused,  // the state service refuses the owner of the most machines
   owner_alone,    // that owner has neither state service nor peers
   state_delay,    // the state service answers after `stagger_s`
+  lost_answers,   // of `share` of the transactions only the answer is lost: they are carried out at once
+  kept_copies,  // of `share` of the reports a copy is kept and reaches every controller as a new owner begins
+  machines_mute,  // they reach no controller, direct commands reach them
+  zone_apart,     // a zone's workers and controllers reach each other, and nobody else
+  cancel_hang,    // users cancel `share` of the running jobs, and `count` of their machines hang for `for_s`
+  cancel_at_end,  // `share` of the jobs that end is called off at the moment of the end
+  close_looks,    // users ask at all nodes, and repeat, right after a job was accepted, ended or called off
+  odd_requests,   // repeats of what runs, withdrawals of what is over, submissions that are unsound
+  quick_boots,    // new machines are up within two seconds, also those of a leader that has ended meanwhile
 };
 
 const char* name_of(FaultKind k);
@@ -67,7 +76,9 @@
   double gangs_a_s = 0.45, arrays_a_s = 0.8;  // arrivals
   double gang_s = 150, array_s = 70;          // medians of run times
   double guaranteed_gpus = 1200, most_gpus = 3500;
-  double few = 0;        // share of the arrays that have one to three tasks, which end far apart
+  double few = 0;  // share of the arrays that have one to `few_tasks` tasks, which end far apart
+  std::uint32_t few_tasks = 3;
+  double bound = 0;  // share of the arrays that are bound to one zone, to a named one, or have to be in two
   double withdrawn = 0;  // share of the jobs that their users withdraw, some time after submission
   double gang_wait_s = 30;
   double hold_life_s = 0;  // 0: the default; shortened where cancel_s asks for it, as settings are
@@ -97,10 +108,11 @@
   std::uint32_t undone = 0;  // machines returned alive and rented again, or rented and returned unused
   double lost_s = 0;         // run time that has to be repeated
   std::uint32_t suspected = 0, returned = 0, condemned_alive = 0;
-  double squared_s = -1;            // from the first fault until every part was squared; below 0: not
+  double squared_s = -1;  // from the first fault until every part was squared; below 0: not
   std::array<Served, 2> class_served, team_served;
   std::array<Served, 2> largest_served;     // of each class the tenth that is largest by tasks x GPUs
   std::uint32_t answers = 0, refusals = 0;  // users' questions
+  std::uint32_t late_starts = 0;            // after a confirmed cancellation
   std::vector<std::string> broken;          // rules
 };
 
--- a/src/lab/histories.cpp
+++ b/src/lab/histories.cpp
@@ -7,7 +7,7 @@
 namespace oxbowmill::lab {
 
 namespace {
-constexpr double known_s = 75;  // no answer for so long, and a job counts as forgotten
+constexpr double left_s = 90;  // the longest that a rule waits for: a job that could begin, and does not
 }  // namespace
 
 FleetScenario meeting_place() {
@@ -35,6 +35,7 @@
   s.guaranteed_gpus = 20;
   s.most_gpus = 48;
   s.few = 0.7;
+  s.bound = 0.3;
   s.withdrawn = 0.3;
   s.gang_wait_s = 3;  // shorter than images differ in their fetch: members give up and come back
   s.length_s = s.warm_s;
@@ -45,7 +46,7 @@
   double end = s.warm_s;
   for (const Fault& f : s.faults)
     end = std::max(end, f.at_s + f.for_s + f.stagger_s * static_cast<double>(s.controllers));
-  s.length_s = end + std::max(known_s, s.cancel_s) + 10;
+  s.length_s = end + std::max(left_s, s.cancel_s) + 10;
 }
 
 FleetScenario random_history(std::uint64_t seed) {
@@ -63,7 +64,12 @@
                                    {FaultKind::freeze, 12, 0},          {FaultKind::machines_hang, 14, 0.3},
                                    {FaultKind::machines_deaf, 40, 0.4}, {FaultKind::machines_die, 0, 0.2},
                                    {FaultKind::late_copies, 60, 0.5},   {FaultKind::late_writes, 60, 0.4},
-                                   {FaultKind::held_up, 40, 0.4},       {FaultKind::cancel, 0, 0.6}};
+                                   {FaultKind::held_up, 40, 0.4},       {FaultKind::cancel, 0, 0.6},
+                                   {FaultKind::lost_answers, 40, 0.4},  {FaultKind::kept_copies, 50, 0.6},
+                                   {FaultKind::machines_mute, 30, 0.4}, {FaultKind::zone_apart, 30, 0},
+                                   {FaultKind::cancel_hang, 11, 0.6},   {FaultKind::cancel_at_end, 60, 0.5},
+                                   {FaultKind::close_looks, 60, 0},     {FaultKind::odd_requests, 60, 0},
+                                   {FaultKind::quick_boots, 60, 0}};
   FleetScenario s = meeting_place();
   auto n = 3 + static_cast<int>(draw(0, 4.99));
   for (int i = 0; i < n; ++i) {
@@ -73,6 +79,7 @@
     f.at_s = s.warm_s + draw(0, 40);
     f.for_s = k.for_s * draw(0.1, 1);
     f.share = k.share * draw(0.2, 1);
+    if (k.kind == FaultKind::cancel_hang) f.count = 8;
     if (k.kind == FaultKind::all_down) f.stagger_s = draw(0, 1);
     if (k.kind == FaultKind::state_delay) f.stagger_s = draw(0.1, 3);
     s.faults.push_back(f);
@@ -98,8 +105,9 @@
 std::string script(const FleetScenario& s) {
   std::string out;
   for (const Fault& f : s.faults)
-    out += fmt::format("  - {{at_s: {:.3f}, kind: {}, for_s: {:.3f}, stagger_s: {:.3f}, share: {:.3f}}}\n",
-                       f.at_s - s.warm_s, name_of(f.kind), f.for_s, f.stagger_s, f.share);
+    out += fmt::format(
+        "  - {{at_s: {:.3f}, kind: {}, for_s: {:.3f}, stagger_s: {:.3f}, share: {:.3f}, count: {}}}\n",
+        f.at_s - s.warm_s, name_of(f.kind), f.for_s, f.stagger_s, f.share, f.count);
   return out;
 }
 
--- a/tests/histories_test.cpp
+++ b/tests/histories_test.cpp
@@ -38,6 +38,20 @@
     r.submits("j", two);
     r.told("j", Told::open, at);
   };
+  auto waits = [](Rules& r, const Rules::Terms& terms, std::map<std::string, Rules::Usable> machines) {
+    r.quiet_from(0);
+    r.submits("j", terms);
+    r.told("j", Told::open, 1);
+    r.usable(std::move(machines), 1);
+  };
+  auto wait = [](Rules& r, double from, double to) {
+    for (double t = from; t <= to; ++t) r.check(t);
+  };
+  Rules::Terms half_and_half{0, 5, 0.5, false, true};
+  half_and_half.scatter = true;
+  half_and_half.types = {"std"};
+  Rules::Terms unsound = two;
+  unsound.sound = false;
   const Breach breaches[] = {
       {"", "runs to its end",
        [&](Rules& r) {
@@ -68,6 +82,127 @@
          r.told("j", Told::open, 371);
          r.check(500);
        }},
+      {"", "started by an order that was on its way as it was cancelled",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts_end_within(3);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         run(r, 0, "m1", 7.9, 9);
+       }},
+      {"", "of the type and in the zones that it names, half of it in each",
+       [&](Rules& r) {
+         r.submits("j", half_and_half);
+         r.told("j", Told::open, 1);
+         for (std::uint32_t t : {0U, 1U, 2U}) r.starts("j", t, "m1", {"a", false, "std"}, 2);
+         for (std::uint32_t t : {3U, 4U}) r.starts("j", t, "m2", {"b", false, "std"}, 2);
+       }},
+      {"", "unsound, and turned down",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.submits("k", unsound);
+         r.told("k", Told::rejected, 4);
+       }},
+      {"", "waits where no machine has room",
+       [&](Rules& r) {
+         waits(r, two, {{"m1", {{"a", false}, 1}}});
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         wait(r, 3, 300);
+       }},
+      {"", "waits while its team is at its limit",
+       [&](Rules& r) {
+         waits(r, {0, 6, 1, false, true}, {{"m1", {{"a", false}, 8}}});
+         for (std::uint32_t t : {0U, 1U, 2U, 3U}) r.starts("j", t, "m1", {"a", false}, 2);
+         wait(r, 3, 300);
+       }},
+      {"", "waits for its zone, while another has room",
+       [&](Rules& r) {
+         waits(r, two, {{"m1", {{"a", false}, 1}}, {"m2", {{"b", false}, 4}}});
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         wait(r, 3, 300);
+       }},
+      {"", "waits for room for all of it at once",
+       [&](Rules& r) {
+         Rules::Terms gang = two;
+         gang.gang = true;
+         waits(r, gang, {{"m1", {{"a", false}, 1}}, {"m2", {{"b", false}, 1}}});
+         run(r, 0, "m1", 2, 3);
+         wait(r, 3, 300);
+       }},
+      {"", "waits for long, while troubles last",
+       [&](Rules& r) {
+         waits(r, two, {{"m1", {{"a", false}, 2}}});
+         r.quiet_from(220);
+         run(r, 0, "m1", 2, 3);
+         wait(r, 3, 300);
+         r.starts("j", 0, "m1", {"a", false}, 301);
+         wait(r, 302, 390);
+       }},
+      {"", "waits while machines have room for moments, and others take it",
+       [&](Rules& r) {
+         r.submits("k", {1, 1000, 1, false, true});
+         waits(r, {0, 1, 1, false, true}, {{"m1", {{"a", false}, 1}}, {"m2", {{"a", false}, 1}}});
+         for (std::uint32_t t = 0; t < 100; ++t) {
+           double at = 2 + 3 * t;
+           const char* m = t % 2 == 0 ? "m1" : "m2";
+           r.starts("k", t, m, {"a", false}, at);
+           wait(r, at, at + 4);
+           r.leaves("k", t, m, at + 4);
+         }
+       }},
+      {"left_waiting", "waits though a machine that fits has room all the time",
+       [&](Rules& r) {
+         waits(r, two, {{"m1", {{"a", false}, 2}}});
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         wait(r, 3, 92);
+         EXPECT_TRUE(r.broken().empty());
+         wait(r, 93, 300);
+       }},
+      {"accepted_unsound", "a field is missing, and it is accepted",
+       [&](Rules& r) {
+         accepted(r, 1);
+         run(r, 0, "m1", 2, 3);
+         r.submits("k", unsound);
+         r.told("k", Told::open, 4);
+         r.told("k", Told::open, 5);
+       }},
+      {"wrong_place", "on a type that it does not name",
+       [&](Rules& r) {
+         r.submits("j", half_and_half);
+         r.starts("j", 0, "m1", {"a", false, "big"}, 2);
+       }},
+      {"wrong_place", "in a zone that it does not name",
+       [&](Rules& r) {
+         Rules::Terms there = two;
+         there.zone = "b";
+         r.submits("j", there);
+         r.starts("j", 0, "m1", {"a", false}, 2);
+       }},
+      {"wrong_place", "more than half in one zone",
+       [&](Rules& r) {
+         r.submits("j", half_and_half);
+         for (std::uint32_t t : {0U, 1U, 2U, 3U}) r.starts("j", t, "m1", {"a", false, "std"}, 2);
+       }},
+      {"ran_cancelled", "started soon after it was confirmed as cancelled",
+       [&](Rules& r) {
+         accepted(r, 1);
+         r.starts_end_within(3);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         run(r, 0, "m1", 8.1, 9);
+       }},
+      {"ran_cancelled", "goes on when its machine, which nobody could reach, does",
+       [&](Rules& r) {
+         waits(r, two, {{"m1", {{"a", false}, 2}}});
+         r.starts("j", 0, "m1", {"a", false}, 2);
+         r.withdraws("j");
+         r.told("j", Told::cancelled, 5);
+         r.usable({}, 20);
+         r.check(24);
+         r.usable({{"m1", {{"a", false}, 2}}}, 25);
+         r.leaves("j", 0, "m1", 25.2);
+       }},
       {"ran_twice", "on two machines",
        [&](Rules& r) {
          accepted(r, 1);
@@ -218,6 +353,7 @@
 struct Meeting {
   const char* name;
   std::vector<Fault> first, then;
+  std::function<void(FleetScenario&)> scene = {};  // what is not as usual in the cluster
 };
 
 Fault fault(FaultKind kind, double at, double for_s, double share = 0, double stagger = 0) {
@@ -232,6 +368,57 @@
 
 using K = FaultKind;
 
+Fault hangs(double at, double for_s, double share) {
+  Fault f = fault(K::cancel_hang, at, for_s, share);
+  f.count = 8;
+  return f;
+}
+
+Fault cut_of(const char* zone, double at, double for_s) {
+  Fault f = fault(K::zone_cut, at, for_s);
+  f.zone = zone;
+  return f;
+}
+
+Fault held_back(std::uint32_t reports, double at, double for_s) {
+  Fault f = fault(K::late_reports, at, for_s);
+  f.count = reports;
+  return f;
+}
+
+std::vector<Fault> changes_of_leader(int times, double every) {
+  std::vector<Fault> all;
+  for (int i = 0; i < times; ++i) all.push_back(fault(K::owner_down, every * i, 3));
+  return all;
+}
+
+// Clusters in which something is not as usual.
+void at_limit(FleetScenario& s) {
+  s.guaranteed_gpus = 8;
+  s.most_gpus = 16;
+}
+void few_machines(FleetScenario& s) {
+  s.up = 6;
+  s.arrays_a_s = 0.5;
+}
+void four_a_second(FleetScenario& s) {
+  s.gangs_a_s = 0.01;
+  s.arrays_a_s = 4;
+  s.few = 1;
+  s.few_tasks = 1;
+  s.bound = 0;
+  s.withdrawn = 0.25;
+  s.array_s = 5;
+}
+void all_bound(FleetScenario& s) {
+  s.bound = 1;
+  s.few = 0.4;
+}
+void more_work_than_room(FleetScenario& s) {
+  s.gangs_a_s = 0.15;
+  s.arrays_a_s = 0.8;
+}
+
 /// LATER.md's list, in its order.
 std::vector<Meeting> meetings() {
   return {
@@ -259,6 +446,69 @@
       {"ALeaderThatEndsWhileMachinesCannotBeReachedOrDoNotHear",
        {fault(K::machines_deaf, 0, 50, 0.4), fault(K::machines_hang, 2, 14, 0.3)},
        {fault(K::owner_down, 3, 4), fault(K::machines_deaf, 8, 40, 0.4), fault(K::owner_down, 12, 4)}},
+      {"UsersLookCloselyAtAllNodes",
+       {fault(K::close_looks, 0, 60), fault(K::state_delay, 0, 20, 0, 0.3)},
+       {fault(K::cancel, 1, 0, 0.4), fault(K::owner_down, 3, 2), fault(K::owner_refused, 8, 8),
+        fault(K::cancel, 12, 0, 0.4)}},
+      {"OnlyTheAnswerIsLostWhileOtherNodesRead",
+       {fault(K::lost_answers, 0, 50, 0.4), fault(K::close_looks, 0, 60)},
+       {fault(K::owner_down, 2, 1), fault(K::cancel, 4, 0, 0.5), fault(K::all_down, 15, 0.5, 0, 0.4)}},
+      {"TeamsAtTheirLimitWhileMachinesOfCancelledJobsHang",
+       {hangs(0, 11, 0.6), fault(K::machines_mute, 0, 30, 0.3)},
+       {fault(K::owner_down, 1, 5), fault(K::cancel, 3, 0, 0.5), hangs(8, 11, 0.6),
+        fault(K::owner_down, 10, 2)},
+       at_limit},
+      {"CancelledWhileOneControllersWorkChangesHands",
+       {fault(K::owner_down, 0, 6), fault(K::late_copies, -5, 30, 0.3)},
+       {fault(K::cancel, -0.3, 0, 0.4), fault(K::cancel, 0.2, 0, 0.4), fault(K::cancel, 0.8, 0, 0.4),
+        fault(K::cancel, 1.6, 0, 0.4), fault(K::owner_down, 2, 3), fault(K::cancel, 2.4, 0, 0.6)}},
+      {"MachinesAreUpAtOnceWhileWritesLagAndTheLeaderEnds",
+       {fault(K::quick_boots, -12, 60), fault(K::late_writes, -8, 40, 0.4)},
+       {fault(K::owner_down, -2, 3), fault(K::machines_die, 1, 0, 0.3), fault(K::owner_down, 6, 1),
+        fault(K::all_down, 12, 0.4, 0, 0.3)},
+       few_machines},
+      {"AnOldReportReachesEveryControllerAsANewOneBegins",
+       {fault(K::kept_copies, -15, 60, 0.6), fault(K::machines_hang, -8, 7, 0.3)},
+       {fault(K::owner_down, 0, 2), fault(K::owner_down, 8, 5), fault(K::all_down, 20, 0.3, 0, 0.3)}},
+      {"OneTaskJobsFourASecond", {fault(K::close_looks, 0, 20)}, {fault(K::owner_down, 5, 4)}, four_a_second},
+      {"OneZoneJobsLoseMachines",
+       {fault(K::machines_die, 0, 0, 0.3), fault(K::machines_hang, 2, 14, 0.3)},
+       {fault(K::machines_die, 0.5, 0, 0.2), fault(K::owner_down, 2, 4), fault(K::machines_die, 6, 0, 0.2)},
+       all_bound},
+      {"LeadersChangeTenTimesInTwoMinutesAlsoInAnOutage",
+       changes_of_leader(10, 12),
+       {fault(K::state_outage, 26, 25), fault(K::cancel, 30, 0, 0.5), fault(K::cancel, 80, 0, 0.5)}},
+      {"MoreWorkThanRoomOverSlowLinks",
+       {fault(K::held_up, 0, 60, 0.9, 1.5)},
+       {fault(K::owner_down, 2, 4), fault(K::cancel, 8, 0, 0.4), fault(K::machines_die, 10, 0, 0.2)},
+       more_work_than_room},
+      {"WorkersReachNoControllerWhileCommandsReachThem",
+       {fault(K::machines_mute, 0, 30, 0.5)},
+       {fault(K::cancel, 1, 0, 0.6), fault(K::owner_down, 2, 4), fault(K::machines_mute, 8, 20, 0.5),
+        fault(K::cancel, 14, 0, 0.6)}},
+      {"AZoneWithAControllerIsCutOffForLongerThanALease",
+       {fault(K::zone_apart, 0, 30)},
+       {fault(K::cancel, 3, 0, 0.6), fault(K::owner_down, 5, 4), fault(K::cancel, 12, 0, 0.6)}},
+      {"AllControllersAreAwayForLongerThanALease",
+       {fault(K::all_down, 0, 16, 0, 1), fault(K::late_copies, -10, 60, 0.3)},
+       {fault(K::cancel, -0.5, 0, 0.6), fault(K::cancel, 17, 0, 0.5), fault(K::all_down, 19, 0.3, 0, 14)}},
+      {"CancelledAsTheLeaderIsRefusedAndASecondLaterNobodyHasTheState",
+       {fault(K::owner_refused, 0, 14), fault(K::cancel, 0, 0, 0.8)},
+       {fault(K::state_outage, 0.7, 46)}},
+      {"TheEndOfTheLastTaskMeetsACancellationAQuestionOrARepeat",
+       {fault(K::cancel_at_end, 0, 60, 0.6), fault(K::close_looks, 0, 60)},
+       {fault(K::finish_all, 2, 0), fault(K::finish_all, 20, 0)}},
+      {"ATeamAtItsLimitWhoseMachinesCannotBeAskedAsTheLeaderChanges",
+       {cut_of("a", 0, 10)},
+       {fault(K::owner_down, 0.5, 4), fault(K::cancel, 1, 0, 0.5), fault(K::cancel, 4, 0, 0.5),
+        fault(K::owner_down, 7, 1)},
+       at_limit},
+      {"ReportsAreHeldBackUntilTheNewLeaderHasActed",
+       {held_back(60, 0, 9)},
+       {fault(K::owner_down, 0.5, 4), fault(K::cancel, 6, 0, 0.4)}},
+      {"OddRequestsWhileLeadersEnd",
+       {fault(K::odd_requests, 0, 60), fault(K::lost_answers, 0, 30, 0.3)},
+       {fault(K::owner_down, 2, 3), fault(K::state_outage, 8, 10), fault(K::all_down, 20, 1, 0, 0.5)}},
   };
 }
 
@@ -269,6 +519,7 @@
   std::vector<FleetScenario> all;
   for (double moment : {0.0, 0.3, 0.9, 1.7, 2.6, 3.8, 5.5, 9.0}) {
     FleetScenario s = lab::meeting_place();
+    if (m.scene) m.scene(s);
     s.faults = m.first;
     for (Fault f : m.then) {
       f.at_s += moment;
@@ -281,7 +532,7 @@
   for (const std::string& b : breaches(all, 6)) ADD_FAILURE() << b;
 }
 
-INSTANTIATE_TEST_SUITE_P(Meetings, LaterMeeting, testing::Range<std::size_t>(0, 8),
+INSTANTIATE_TEST_SUITE_P(Meetings, LaterMeeting, testing::Range<std::size_t>(0, meetings().size()),
                          [](const auto& p) { return std::string(meetings()[p.param].name); });
 
 /// The gap: the state service refuses the leader alone, cancellations are confirmed through others, then it
