--- a/include/oxbowmill/service/admission.h
+++ b/include/oxbowmill/service/admission.h
@@ -1,4 +1,5 @@
-// What a submission comes to by itself, before anything is read or written. Pure.
+// What a submission comes to by itself, before anything is read or written, and the transactions by which a
+// job becomes known and is called off. Pure.
 #pragma once
 
 #include "oxbowmill/wire/codec.h"
@@ -18,4 +19,10 @@
 Admission admit(const wire::Json& body, Names& names, const Settings& settings,
                 const std::vector<MachineType>& catalog, double wall);
 
+/// Guarded by both keys under which the job may be known: it is accepted once and never again.
+wire::Json submission_txn(const std::string& ref, const wire::Json& record);
+/// `record`, with its stamp: as the job's own key was read. One guarded write of the phase decides between
+/// done and cancelled.
+wire::Json withdrawal_txn(const std::string& ref, const wire::Json& record, Stamp stamp);
+
 }  // namespace oxbowmill::service
--- a/src/lab/fleet_users.cpp
+++ b/src/lab/fleet_users.cpp
@@ -195,11 +195,7 @@
     Told what = follow(n, u.ref, e, e.look_up());
     return what == Told::absent ? Told::rejected : what;
   }
-  Json guards = Json::array();
-  for (const std::string& key : {state::job_key(u.ref), state::final_key(u.ref)})
-    guards.push_back({{"k", key}, {"stamp", 0}});
-  auto r =
-      user_txn(n, {{"guards", guards}, {"apply", {{{"put", state::job_key(u.ref)}, {"value", a.record}}}}});
+  auto r = user_txn(n, service::submission_txn(u.ref, a.record));
   if (!r || r->status == 200) return r ? Told::open : Told::nothing;
   Told what = r->status == 409 ? follow(n, u.ref, e, e.look_up()) : Told::nothing;
   return what == Told::absent ? Told::nothing : what;
@@ -211,10 +207,7 @@
   std::uint64_t stamp = 0;
   Told what = follow(n, u.ref, e, e.look_up(), &value, &stamp);
   if (what != Told::open) return what;
-  auto r = user_txn(
-      n, {{"guards", {{{"k", state::job_key(u.ref)}, {"stamp", stamp}}}},
-          {"apply",
-           {{{"put", state::job_key(u.ref)}, {"value", state::with_phase(value, JobPhase::cancelled)}}}}});
+  auto r = user_txn(n, service::withdrawal_txn(u.ref, value, stamp));
   return r && r->status == 200 ? tell_user(n, u.ref, JobPhase::cancelled) : Told::nothing;
 }
 
--- a/src/service/admission.cpp
+++ b/src/service/admission.cpp
@@ -22,4 +22,16 @@
   return a;
 }
 
+wire::Json submission_txn(const std::string& ref, const wire::Json& record) {
+  return {
+      {"guards", {{{"k", state::job_key(ref)}, {"stamp", 0}}, {{"k", state::final_key(ref)}, {"stamp", 0}}}},
+      {"apply", {{{"put", state::job_key(ref)}, {"value", record}}}}};
+}
+
+wire::Json withdrawal_txn(const std::string& ref, const wire::Json& record, Stamp stamp) {
+  return {
+      {"guards", {{{"k", state::job_key(ref)}, {"stamp", stamp}}}},
+      {"apply", {{{"put", state::job_key(ref)}, {"value", state::with_phase(record, JobPhase::cancelled)}}}}};
+}
+
 }  // namespace oxbowmill::service
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -110,23 +110,20 @@
           found == EnquiryStep::absent ? reject(to, why.status, why.reason) : refuse(to);
         });
   }
-  // Guarded by both keys under which the job may be known: it is accepted once and never again.
-  Json txn = {
-      {"guards", {{{"k", state::job_key(ref)}, {"stamp", 0}}, {{"k", state::final_key(ref)}, {"stamp", 0}}}},
-      {"apply", {{{"put", state::job_key(ref)}, {"value", admission.record}}}}};
-  store_.txn(txn, Urgency::user, [this, ref, to = r.responder](const StoreAnswer& a) {
-    if (a.status == 200) {
-      SPDLOG_DEBUG("job {}: accepted", ref);
-      on_write(a.body.value("ledger_rev", Stamp{0}));
-      to->reply(201, wire::encode({{"ref", ref}, {"phase", "queued"}}));
-    } else if (a.status == 409) {
-      ask(ref, [this, ref, to](const Question& q, EnquiryStep found) {
-        found == EnquiryStep::answer ? answer_status(ref, q.enquiry.phase(), to) : refuse(to);
-      });
-    } else {
-      refuse(to);
-    }
-  });
+  store_.txn(submission_txn(ref, admission.record), Urgency::user,
+             [this, ref, to = r.responder](const StoreAnswer& a) {
+               if (a.status == 200) {
+                 SPDLOG_DEBUG("job {}: accepted", ref);
+                 on_write(a.body.value("ledger_rev", Stamp{0}));
+                 to->reply(201, wire::encode({{"ref", ref}, {"phase", "queued"}}));
+               } else if (a.status == 409) {
+                 ask(ref, [this, ref, to](const Question& q, EnquiryStep found) {
+                   found == EnquiryStep::answer ? answer_status(ref, q.enquiry.phase(), to) : refuse(to);
+                 });
+               } else {
+                 refuse(to);
+               }
+             });
 }
 
 void Intake::poll(const std::string& ref, const net::ResponderPtr& to) {
@@ -161,22 +158,18 @@
     if (found == EnquiryStep::absent) return reject(to, 404, "no such job");
     if (found == EnquiryStep::refuse) return refuse(to);
     if (q.enquiry.phase() != JobPhase::open) return answer(q.enquiry.phase());
-    // One guarded write of the phase decides between done and cancelled.
-    Json txn = {
-        {"guards", {{{"k", state::job_key(ref)}, {"stamp", q.stamp}}}},
-        {"apply",
-         {{{"put", state::job_key(ref)}, {"value", state::with_phase(q.value, JobPhase::cancelled)}}}}};
-    store_.txn(txn, Urgency::user, [this, ref, to, tries, answer](const StoreAnswer& a) {
-      if (a.status == 200) {
-        SPDLOG_INFO("job {}: cancelled by its user", ref);
-        on_write(a.body.value("ledger_rev", Stamp{0}));
-        answer(JobPhase::cancelled);
-      } else if (a.status == 409 && tries < most_tries) {
-        withdraw(ref, to, tries + 1);
-      } else {
-        refuse(to);
-      }
-    });
+    store_.txn(withdrawal_txn(ref, q.value, q.stamp), Urgency::user,
+               [this, ref, to, tries, answer](const StoreAnswer& a) {
+                 if (a.status == 200) {
+                   SPDLOG_INFO("job {}: cancelled by its user", ref);
+                   on_write(a.body.value("ledger_rev", Stamp{0}));
+                   answer(JobPhase::cancelled);
+                 } else if (a.status == 409 && tries < most_tries) {
+                   withdraw(ref, to, tries + 1);
+                 } else {
+                   refuse(to);
+                 }
+               });
   });
 }
 
