The log says why a job has not begun: one line a job from 60 s on, each 30 s

Need: jobs that began after 240 s could not be explained from the log. Placing notes for each job what its tasks without a place wait for (limit, room, cheap machines, room that comes, the leader's look, scarce changes, a transaction, a pause, an earlier attempt); core/waiting adds what placed tasks wait for. Table of cases.

--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -54,6 +54,26 @@
   bool has_begun(Seconds now) const { return running_at >= 0 && now - running_at >= begun_after_s; }
 };
 
+/// What keeps a job from beginning.
+enum class WaitCause : std::uint8_t {
+  none,
+  turn,         // others come first, or nobody has looked yet
+  limit,        // its team is at its limit
+  room,         // no machine that fits has room
+  cheap,        // cheap machines come, and whole ordinary ones are left to gangs
+  coming,       // room that tasks are leaving, or machines that come
+  leader,       // the leader is given a moment to ask for machines with the image
+  changes,      // few changes are to be had: it is placed in larger parts
+  transaction,  // one of its own is under way, or in doubt
+  pause,        // after errors
+  attempt,      // a gang's earlier attempt has not ended
+  word,         // an earlier owner's placement, whose machine has not spoken
+  start,        // a start order that no report has shown yet
+  image,
+  gang,  // its other members
+  stop,  // it was told to stop
+};
+
 enum class GangState : std::uint8_t { idle, unknown, gathering, running, stopping };
 
 struct Chunk {
@@ -86,6 +106,8 @@
   Attempt broken = 0;  // attempt of the gang of which a member has said that it lost its peers
   Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
   Seconds first_seen = 0;
+  WaitCause waits_for = WaitCause::turn;  // its tasks without a place
+  Seconds wait_told_at = -1e9;
   std::vector<double> finished_times;  // the detector's: in order of finishing
   double baseline = -1;
   std::map<TaskNo, progress::Saved> saved;         // what tasks go on from; of a gang under task 0
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -171,6 +171,8 @@
   bool may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const;
   void make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins, Clock clock);
   void find_slow(PartIndex part, Seconds now);
+  /// One line for each job that has waited for long to begin.
+  void tell_waits(PartIndex part, Clock clock);
   void place(PartIndex part, Clock clock, bool thorough,
              std::map<JobIndex, std::vector<PlacedTask>>& planned);
   /// Those of the tasks that need not wait for cheap machines; whole ordinary ones are shut to them.
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -37,9 +37,9 @@
     if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
     bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
     bins.back().lasting = m.lasting > 0;
-    // A member that gave up waiting has its image here and comes back as soon as its end is durable. (Taken by
-    // another gang in that moment, the machine cost it a second fetch, longer than a gang waits; so gangs with
-    // large images began after 340 s.)
+    // A member that gave up waiting has its image here and comes back as soon as its end is durable. (Taken
+    // by another gang in that moment, the machine cost it a second fetch, longer than a gang waits; so gangs
+    // with large images began after 340 s.)
     for (TaskId id : m.on) {
       const Placement& p = *model_.find_placement(id);
       if (p.state == PlacementState::gone && p.cause == EndCause::incomplete)
@@ -223,6 +223,9 @@
                       std::map<JobIndex, std::vector<PlacedTask>>& planned) {
   auto order = waiting_order(model_, part, clock);
   if (order.empty()) return;
+  // Of a gang that is not in the order an earlier attempt has yet to end.
+  for (JobIndex ji : model_.live_jobs(part)) model_.job(ji).waits_for = WaitCause::attempt;
+  for (const Waiting& w : order) model_.job(w.job).waits_for = WaitCause::turn;
   Rooms rooms = rooms_of(part, clock.now);
   const Team& team = model_.settings.teams[part.v];
   auto quota = [](double most, double used) { return most > 0 ? most - used : 1e12; };
@@ -232,18 +235,33 @@
   for (const Waiting& waiting : order) {
     JobIndex ji = waiting.job;
     Job& j = model_.job(ji);
-    if (j.writing || clock.now < j.write_after || clock.now < j.place_after) continue;
+    auto waits_for = [&j](WaitCause c) { j.waits_for = c; };
+    if (j.writing || clock.now < j.write_after) {
+      waits_for(WaitCause::transaction);
+      continue;
+    }
+    if (clock.now < j.place_after) {
+      waits_for(WaitCause::pause);
+      continue;
+    }
     bool gang = j.spec.shape == Shape::gang;
-    std::size_t most =
-        std::min<std::size_t>(model_.placeable(ji), static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
-    if (most == 0 || (gang && most < j.pending())) continue;
+    std::size_t most = std::min<std::size_t>(model_.placeable(ji),
+                                             static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
+    if (most == 0 || (gang && most < j.pending())) {
+      waits_for(WaitCause::limit);
+      continue;
+    }
     auto tasks = model_.pending_tasks(j, most);
     auto by_zone = tasks_by_zone(model_, j);
     bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
     std::vector<Bin> bins = rooms.bins;
     see_as(j.spec, model_, bins, waiting.promise != Promise::ample);
-    if (spare_whole && waiting.promise == Promise::ample) tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
-    if (tasks.empty()) continue;
+    if (spare_whole && waiting.promise == Promise::ample)
+      tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
+    if (tasks.empty()) {
+      waits_for(WaitCause::cheap);
+      continue;
+    }
     auto choices = choose(j.spec, tasks, bins, by_zone);
     Seconds start = last_start(choices, bins);
     // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
@@ -267,6 +285,7 @@
       if (more.size() > soon) make_room(j, more, seen, clock);
     }
     if (choices.empty()) {
+      waits_for(WaitCause::room);
       if (gang && !j.placed.empty()) let_go_if_stranded(j, clock.now);
       continue;
     }
@@ -290,6 +309,11 @@
     // Machines that come one by one would cost a change each: what is there is held, and written together.
     bool gathers =
         here.size() < tasks.size() && busy(gather_from_share) && clock.now - j.planned_at < gather_s;
+    waits_for(look_first                     ? WaitCause::leader
+              : gathers                      ? WaitCause::changes
+              : here.size() < choices.size() ? WaitCause::coming
+              : here.size() < tasks.size()   ? WaitCause::room
+                                             : WaitCause::transaction);
     if (gathers || here.empty()) continue;
     j.planned_at = clock.now;
     plan(ji, here, rooms.bins, planned);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "oxbowmill/core/slow_tasks.h"
+#include "oxbowmill/core/waiting.h"
 
 namespace oxbowmill {
 
@@ -16,6 +17,7 @@
 constexpr double patient_keep = 3;  // times as long is an empty machine kept while something waits
 constexpr double collect_from_share =
     0.15;                           // of the changes a second, from which on an owner collects done marks
+constexpr double wait_told_after_s = 60, wait_told_every_s = 30;
 constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
 }  // namespace
@@ -295,6 +297,20 @@
   }
 }
 
+void Scheduler::tell_waits(PartIndex part, Clock clock) {
+  for (JobIndex ji : model_.live_jobs(part)) {
+    Job& j = model_.job(ji);
+    Seconds waited = clock.wall - j.spec.submitted_at;
+    if (waited < wait_told_after_s || clock.now - j.wait_told_at < wait_told_every_s) continue;
+    Wait w = wait_of(model_, j, clock.now);
+    if (w.tasks == 0) continue;
+    j.wait_told_at = clock.now;
+    SPDLOG_INFO("job {}: {} of {} tasks have not begun after {:.0f} s: wait for {}; promise {}", j.spec.ref,
+                w.tasks, j.spec.tasks, waited, name_of(w.cause),
+                name_of(promise_of(model_, j.spec, clock.wall)));
+  }
+}
+
 bool Scheduler::busy(double share) const {
   return changes_ > share * model_.settings.state_write_rps * changes_memory_s;
 }
@@ -523,6 +539,7 @@
     if (!owns(part)) continue;
     if (part == pool_part) continue;
     if (check_slow) find_slow(part, clock.now);
+    if (check_slow) tell_waits(part, clock);
     for (TaskId id : model_.counsel != nullptr ? model_.counsel->unwanted(part) : std::vector<TaskId>{}) {
       if (Placement* unwanted = model_.find_placement(id))
         stop(*unwanted, model_.job(id.job).spec.flush_s, clock.now);
--- a/tests/promise_test.cpp
+++ b/tests/promise_test.cpp
@@ -1,6 +1,7 @@
 // The promise that every job begins (docs/begin.md).
 #include <gtest/gtest.h>
 
+#include "oxbowmill/core/waiting.h"
 #include "oxbowmill/lab/cluster.h"
 
 namespace oxbowmill {
@@ -51,6 +52,79 @@
   return out;
 }
 
+TEST(Promise, WhatAJobWaitsForCanBeRead) {
+  struct Case {
+    WaitCause cause;
+    std::uint32_t tasks;  // that have not begun
+    JobSpec job;
+    std::function<void(Cluster&)> history;
+  };
+  JobSpec gang = test_job("run-1", 2, 4);
+  gang.shape = Shape::gang;
+  auto placed = [](Cluster& c) {
+    c.node(0).sync(c.now);
+    c.node(0).pass(c.now);
+  };
+  const Case cases[] = {
+      {WaitCause::none, 0, test_job("run-1", 2), [](Cluster& c) { c.run(3); }},
+      {WaitCause::limit, 3, test_job("run-1", 11), [](Cluster& c) { c.run(3); }},
+      {WaitCause::room, 1, test_job("run-1", 5),
+       [](Cluster& c) {
+         c.silenced.insert("m2");
+         c.run(30);
+       }},
+      {WaitCause::start, 2, test_job("run-1", 2), placed},
+      {WaitCause::start, 2, test_job("run-1", 2),
+       [&](Cluster& c) {
+         placed(c);
+         for (const char* m : {"m1", "m2"}) c.exchange(m, 0, true);
+       }},
+      {WaitCause::image, 2, test_job("run-1", 2),
+       [](Cluster& c) {
+         for (const char* m : {"m1", "m2"}) c.worker(m).first_phase = TaskPhase::fetching;
+         c.run(3);
+       }},
+      {WaitCause::gang, 2, gang,
+       [](Cluster& c) {
+         for (const char* m : {"m1", "m2"}) c.worker(m).first_phase = TaskPhase::gathering;
+         c.run(3);
+       }},
+      {WaitCause::word, 2, test_job("run-1", 2),
+       [](Cluster& c) {
+         c.run(3);
+         c.hand_over(0, 1, 4);
+         c.node(1).pass(c.now);
+       }},
+      {WaitCause::transaction, 2, test_job("run-1", 2),
+       [](Cluster& c) {
+         c.node(0).fate = lab::Fate::not_arrived;
+         c.run(1);
+       }},
+      {WaitCause::pause, 1, test_job("run-1", 1),
+       [](Cluster& c) {
+         c.run(2);
+         for (int i = 0; i < 4; ++i) {
+           std::string at = c.placed("run-1", 0).at(0);
+           c.worker(at).finish("run-1/0", EndCause::no_such);
+           c.run(i < 3 ? 5 : 2);
+         }
+       }},
+  };
+  for (const Case& k : cases) {
+    Cluster c;
+    c.node(0).model.settings.op.give_back_s = 1000;
+    for (const char* m : {"m1", "m2"}) c.add_machine(m);
+    c.run(2);
+    c.submit(k.job);
+    k.history(c);
+    std::size_t owner = k.cause == WaitCause::word ? 1 : 0;
+    Model& m = c.node(owner).model;
+    Wait w = wait_of(m, m.job(m.find_job("run-1")), c.now);
+    EXPECT_STREQ(name_of(w.cause), name_of(k.cause));
+    EXPECT_EQ(w.tasks, k.tasks) << name_of(k.cause);
+  }
+}
+
 TEST(Promise, WhatIsGivenUpOrOutrankedDoesNotWaitForEver) {
   // On a day of the fleet the largest arrays, given up for the sake of the most deadlines, began after 377 s.
   Cluster c;
