--- a/include/oxbowmill/service/admission.h
+++ b/include/oxbowmill/service/admission.h
@@ -2,6 +2,9 @@
 // job becomes known and is called off. Pure.
 #pragma once
 
+#include <deque>
+#include <unordered_map>
+
 #include "oxbowmill/wire/codec.h"
 
 namespace oxbowmill::service {
@@ -15,9 +18,23 @@
   bool for_good = false;
 };
 
-/// `wall`: time of day in seconds; `body`: a map.
+/// When users first tried to submit what nobody could take yet: their wait, and their deadline, count from
+/// there. (Counted from its acceptance, after an outage of a minute, a job looked a minute younger than it
+/// was.) Seconds.
+class FirstTries {
+ public:
+  /// A try, well-formed or not, at that time of day; when the first one came here.
+  double tried(const wire::Json& body, double wall);
+
+ private:
+  void forget(double wall);
+  std::unordered_map<std::string, double> first_;
+  std::deque<std::string> order_;
+};
+
+/// `submitted_at`: time of day in seconds; `body`: a map.
 Admission admit(const wire::Json& body, Names& names, const Settings& settings,
-                const std::vector<MachineType>& catalog, double wall);
+                const std::vector<MachineType>& catalog, double submitted_at);
 
 /// Guarded by both keys under which the job may be known: it is accepted once and never again.
 wire::Json submission_txn(const std::string& ref, const wire::Json& record);
--- a/include/oxbowmill/service/intake.h
+++ b/include/oxbowmill/service/intake.h
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "oxbowmill/service/admission.h"
 #include "oxbowmill/service/enquiry.h"
 #include "oxbowmill/service/mirror.h"
 
@@ -43,6 +44,7 @@
   std::function<double()> now_, wall_;
   std::unordered_map<std::string, JobPhase> finals_;  // final phases do not change: answered from memory
   std::deque<std::string> finals_order_;
+  FirstTries tries_;
 };
 
 }  // namespace oxbowmill::service
--- a/src/lab/fleet_users.cpp
+++ b/src/lab/fleet_users.cpp
@@ -188,7 +188,8 @@
 
 Told FleetWorld::Impl::submit(Node& n, const User& u) {
   Model& m = n.core->model;
-  service::Admission a = service::admit(u.body, m.names, m.settings, m.catalog, now + wall_ahead);
+  double first = n.tries.tried(u.body, now + wall_ahead);
+  service::Admission a = service::admit(u.body, m.names, m.settings, m.catalog, first);
   service::Enquiry e;
   if (a.rejection) {
     if (a.for_good) return Told::rejected;
--- a/src/lab/fleet_world_impl.h
+++ b/src/lab/fleet_world_impl.h
@@ -41,6 +41,7 @@
     };
     std::deque<Hearing> hearings;
     std::map<std::string, JobPhase> finals;  // told or read here
+    service::FirstTries tries;
   };
   struct Host {
     std::unique_ptr<Worker> worker;
--- a/src/service/intake.cpp
+++ b/src/service/intake.cpp
@@ -2,8 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include "oxbowmill/service/admission.h"
-
 namespace oxbowmill::service {
 
 using state::StoreAnswer;
@@ -96,8 +94,9 @@
 void Intake::submit(const net::Request& r) {
   auto body = wire::decode_map(r.body);
   if (!body) return reject(r.responder, 400, "not a CBOR map within the size limit");
+  double first = tries_.tried(*body, wall_());
   if (overloaded()) return refuse(r.responder);
-  Admission admission = admit(*body, model_.names, model_.settings, model_.catalog, wall_());
+  Admission admission = admit(*body, model_.names, model_.settings, model_.catalog, first);
   std::string ref = admission.spec.ref;
   if (admission.rejection && admission.for_good)
     return reject(r.responder, admission.rejection->status, admission.rejection->reason);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "oxbowmill/lab/cluster.h"
+#include "oxbowmill/service/admission.h"
 #include "oxbowmill/service/enquiry.h"
 #include "oxbowmill/service/view.h"
 
@@ -235,6 +236,33 @@
   EXPECT_EQ(view.revision(), 150U);
 }
 
+TEST(Meetings, AJobsWaitCountsFromTheFirstTryToSubmitIt) {
+  // Refused through an outage of a minute, it would look a minute younger than it is.
+  struct Try {
+    lab::Json body;
+    double at, first;
+  };
+  const Try tries[] = {
+      {{{"ref", "run-1"}}, 100, 100}, {{{"ref", "run-1"}}, 140, 100}, {{{"ref", "run-2"}}, 141, 141},
+      {{{"ref", "run-1"}}, 160, 100}, {{{"ref", "run-1"}}, 161, 161},  // nobody repeats for so long
+      {{{"ref", "run-1"}}, 150, 150},                                  // a clock that was set back
+      {{{"ref", ""}}, 10, 10},        {{{"ref", ""}}, 20, 20},        {{{"ref", 7}}, 30, 30},
+      {lab::Json::object(), 40, 40},
+  };
+  service::FirstTries known;
+  for (const Try& t : tries) EXPECT_EQ(known.tried(t.body, t.at), t.first) << t.body << " at " << t.at;
+  for (int i = 0; i < 20000; ++i) known.tried({{"ref", "swarm-" + std::to_string(i)}}, 200);
+  EXPECT_EQ(known.tried({{"ref", "swarm-19999"}}, 201), 200);
+  EXPECT_EQ(known.tried({{"ref", "swarm-0"}}, 201), 201) << "memory is bounded";
+  // What was tried first is what the record says.
+  Names names = lab::test_names();
+  Settings settings = lab::test_settings("n");
+  lab::Json body = wire::write_submission(test_job("run-1", 1), names);
+  auto a = service::admit(body, names, settings, lab::test_catalog(), 100);
+  ASSERT_FALSE(a.rejection);
+  EXPECT_EQ(a.spec.submitted_at, 100);
+}
+
 TEST(Meetings, AQuestionIsAnsweredByWhatIsKnownAndNothingElse) {
   using service::Enquiry;
   using Step = service::EnquiryStep;
