Placements of an earlier owner that come late: the claim's and the machine's guards each have a test

Found by taking guards out: without the claim's guard, or the machine record's, on placements no test failed. Now one each: a late placement after the team's room went to another job, and one on a machine that was marked or forgotten.

--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -114,6 +114,54 @@
   EXPECT_EQ(c.log.starts["run-1/0"], 1);
 }
 
+TEST(Fencing, LatePlacementOfAnEarlierOwnerFailsThoughNothingElseOfItHasChanged) {
+  // Job, record and machine are as they were, since the new owner gave the team's room to another job: only
+  // the claim tells. Applied, it would put the team over its limit of eight.
+  Cluster c;
+  for (const char* m : {"m1", "m2", "m3"}) c.add_machine(m);
+  for (std::size_t n : {0, 1}) c.node(n).model.settings.op.give_back_s = 1000;
+  c.run(2);
+  c.submit(test_job("run-1", 1, 4));
+  c.node(0).sync(c.now);
+  c.node(0).fate = Fate::not_arrived;
+  c.node(0).pass(c.now);
+  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  JobSpec other = test_job("run-2", 2, 4);
+  other.rank = Rank::high;
+  c.submit(other);
+  c.hand_over(0, 1, 0.5);
+  c.run(3, 1);
+  ASSERT_TRUE(c.placed("run-1", 0).empty()) << "the case that this is about";
+  ASSERT_EQ(c.placed("run-2", 0).size() + c.placed("run-2", 1).size(), 2U);
+  EXPECT_EQ(c.state.txn(c.node(0).lost[0]).status, 409);
+  c.run(3, 1);
+  EXPECT_EQ(c.log.starts["run-1/0"], 0);
+}
+
+TEST(Fencing, LatePlacementOnAMachineWhoseRecordHasChangedFails) {
+  // The leader marks machines and forgets those that are gone, whatever their part's owner is writing:
+  // applied afterwards, a placement would be on a machine that nobody can hear or delete.
+  for (bool gone : {true, false}) {
+    Cluster c;
+    c.add_machine("m1");
+    c.run(2);
+    c.submit(test_job("run-1", 1));
+    c.node(0).sync(c.now);
+    c.node(0).fate = Fate::not_arrived;
+    c.node(0).pass(c.now);
+    ASSERT_EQ(c.node(0).lost.size(), 1U);
+    lab::Json change = {{"delete", "o/m/m1"}};
+    if (!gone) {
+      lab::Json marked = c.state.keys().at("o/m/m1").value;
+      marked["del"] = true;
+      change = {{"put", "o/m/m1"}, {"value", marked}};
+    }
+    ASSERT_EQ(c.state.txn({{"guards", lab::Json::array()}, {"apply", {change}}}).status, 200);
+    EXPECT_EQ(c.state.txn(c.node(0).lost[0]).status, 409) << gone;
+    EXPECT_TRUE(c.placed("run-1", 0).empty()) << gone;
+  }
+}
+
 TEST(Fencing, UnansweredTransactionStaysInDoubtThroughARefusalOfItsRepeat) {
   // The first copy is held back, the second gets 503: that says nothing of the first. Were its quota freed,
   // other work could take it, and the first copy, applied late, would go over the team's limit.
