--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -121,11 +121,7 @@
   for (const char* m : {"m1", "m2", "m3"}) c.add_machine(m);
   for (std::size_t n : {0, 1}) c.node(n).model.settings.op.give_back_s = 1000;
   c.run(2);
-  c.submit(test_job("run-1", 1, 4));
-  c.node(0).sync(c.now);
-  c.node(0).fate = Fate::not_arrived;
-  c.node(0).pass(c.now);
-  ASSERT_EQ(c.node(0).lost.size(), 1U);
+  ASSERT_NO_FATAL_FAILURE(hold_back_placement(c, 1));
   JobSpec other = test_job("run-2", 2, 4);
   other.rank = Rank::high;
   c.submit(other);
@@ -145,11 +141,7 @@
     Cluster c;
     c.add_machine("m1");
     c.run(2);
-    c.submit(test_job("run-1", 1));
-    c.node(0).sync(c.now);
-    c.node(0).fate = Fate::not_arrived;
-    c.node(0).pass(c.now);
-    ASSERT_EQ(c.node(0).lost.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(hold_back_placement(c, 1));
     lab::Json change = {{"delete", "o/m/m1"}};
     if (!gone) {
       lab::Json marked = c.state.keys().at("o/m/m1").value;
