--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,9 +1,8 @@
 // The program: arguments and settings, then the event loop.
+#include <event2/event.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-#include <event2/event.h>
-
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -74,8 +73,8 @@
     Reload reload{nullptr, operator_files};
     std::unique_ptr<event, void (*)(event*)> hangup(
         evsignal_new(
-            base.get(), SIGHUP,
-            [](evutil_socket_t, short, void* r) { static_cast<Reload*>(r)->read(); }, &reload),
+            base.get(), SIGHUP, [](evutil_socket_t, short, void* r) { static_cast<Reload*>(r)->read(); },
+            &reload),
         event_free);
     event_add(hangup.get(), nullptr);
     oxbowmill::service::Node node(base.get(), std::move(config));
--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -52,8 +52,8 @@
   return write_out(s.name, rows, lab::summarise(rows), report);
 }
 
-int cluster(const std::string& file, const std::string& fleet, unsigned seeds, unsigned threads, const std::string& report,
-            unsigned long long one, const std::string& way) {
+int cluster(const std::string& file, const std::string& fleet, unsigned seeds, unsigned threads,
+            const std::string& report, unsigned long long one, const std::string& way) {
   lab::FleetScenario s = lab::load_fleet_scenario(file, fleet);
   if (one != 0) {
     auto w = std::find_if(std::begin(lab::ways), std::end(lab::ways),
--- a/include/oxbowmill/config/config.h
+++ b/include/oxbowmill/config/config.h
@@ -6,8 +6,8 @@
 
 #include "oxbowmill/core/settings.h"
 #include "oxbowmill/market/settings.h"
-#include "oxbowmill/net/http.h"
 #include "oxbowmill/models/terms.h"
+#include "oxbowmill/net/http.h"
 #include "oxbowmill/recovery/settings.h"
 #include "oxbowmill/release/terms.h"
 #include "oxbowmill/yaml/map.h"
--- a/include/oxbowmill/core/counsel.h
+++ b/include/oxbowmill/core/counsel.h
@@ -1,5 +1,6 @@
-// What the controllers' durable decisions (docs/accord.md) say of jobs: whether their tasks may be placed, and
-// what their placement has to find unchanged. Core asks, `accord` answers; without a counsel nothing is held.
+// What the controllers' durable decisions (docs/accord.md) say of jobs: whether their tasks may be placed,
+// and what their placement has to find unchanged. Core asks, `accord` answers; without a counsel nothing is
+// held.
 #pragma once
 
 #include <limits>
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -45,9 +45,9 @@
   std::uint64_t sent_tenure = 0, sent_serial = 0;
   Seconds started_at = 0;  // first start order by this owner, or takeover
   Seconds running_at = -1;
-  Seconds known_at = 0;  // record first seen by this node
-  Seconds ran_until = -1;   // last report that showed it running
-  double ran_s = 0;         // between reports that did, close enough together for nothing to hang between them
+  Seconds known_at = 0;    // record first seen by this node
+  Seconds ran_until = -1;  // last report that showed it running
+  double ran_s = 0;        // between reports that did, close enough together for nothing to hang between them
   double placed_at_s = -1;  // since its job came, by whoever placed it; below 0: not known
   bool stored = false;      // its worker said so as it stopped
   /// Runs for so long that its start counts, whatever becomes of it.
@@ -92,7 +92,7 @@
   /// Bit per task: has begun at some time, as far as this owner saw. A task that had and waits again is a
   /// repetition, not a job that never began.
   std::vector<std::uint64_t> begun;
-  double share = 1;                 // of a machine that one task takes up
+  double share = 1;  // of a machine that one task takes up
   std::uint32_t done = 0;
   std::uint32_t scan_from = 0;  // no free bit in words before this one
   // Owner's working state.
@@ -103,7 +103,7 @@
   Seconds place_after = 0;    // back-off after errors
   Seconds planned_at = -1e9;  // last placement of a part of it
   std::uint32_t errors = 0;
-  Attempt broken = 0;  // attempt of the gang of which a member has said that it lost its peers
+  Attempt broken = 0;           // attempt of the gang of which a member has said that it lost its peers
   Seconds stranded_since = -1;  // a gang in part placed, whose missing members have nowhere to go
   Seconds first_seen = 0;
   WaitCause waits_for = WaitCause::turn;  // its tasks without a place
@@ -120,9 +120,7 @@
   /// Run time that its tasks without a machine still need, one with another, by the owner's estimate.
   Seconds remaining_s() const;
   bool final_phase() const { return phase != JobPhase::open; }
-  bool has_begun(TaskNo t) const {
-    return t / 64 < begun.size() && (begun[t / 64] >> (t % 64) & 1) != 0;
-  }
+  bool has_begun(TaskNo t) const { return t / 64 < begun.size() && (begun[t / 64] >> (t % 64) & 1) != 0; }
   std::uint32_t pending() const {
     return phase == JobPhase::open ? spec.tasks - done - static_cast<std::uint32_t>(placed.size()) : 0;
   }
@@ -154,8 +152,8 @@
   std::uint64_t tenure = 0, serial = 0;
   Stamp first_token = 0;      // of our first answer since it came to us: all later ones are no lower
   std::uint32_t unheard = 0;  // reports in a row that showed that an answer of ours was not taken
-  bool taken_over = false;  // in its part since a takeover of the part, not since a move
-  bool recalled = false;    // spot notice
+  bool taken_over = false;    // in its part since a takeover of the part, not since a move
+  bool recalled = false;      // spot notice
   bool failed_listed = false;
   bool up = false;  // has run something or been moved: known to have booted, also where it reports elsewhere
   bool writing = false;
@@ -268,10 +266,10 @@
   MoneyTables money;
   std::map<std::string, Agreed> agreed;  // by kind/name
   const Counsel* counsel = nullptr;      // none: no decision holds anything
-  std::vector<MachineType> catalog;  // by type
-  std::vector<double> image_gb;      // by image
-  std::set<JobIndex> dirty;          // jobs whose placements, phase or pending tasks changed
-  std::set<MachineIndex> kick;       // machines with kills to be sent at once
+  std::vector<MachineType> catalog;      // by type
+  std::vector<double> image_gb;          // by image
+  std::set<JobIndex> dirty;              // jobs whose placements, phase or pending tasks changed
+  std::set<MachineIndex> kick;           // machines with kills to be sent at once
 
  private:
   void apply_job(JobIndex j, const JobRecord* rec, Stamp stamp, Seconds now);
--- a/include/oxbowmill/core/order.h
+++ b/include/oxbowmill/core/order.h
@@ -22,8 +22,8 @@
 };
 
 /// Waiting jobs of a part: those that are lifted by the promise that every job begins; then by rank, in it
-/// first those for which that is pressing; then those that can still be in time, by the last moment at which they
-/// must start; then the others, longest first; jobs without a deadline by age.
+/// first those for which that is pressing; then those that can still be in time, by the last moment at which
+/// they must start; then the others, longest first; jobs without a deadline by age.
 std::vector<Waiting> waiting_order(const Model& model, PartIndex part, Clock clock);
 
 }  // namespace oxbowmill
--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -20,9 +20,9 @@
   Amounts room;
   int cost = 0;         // what taking it costs beyond the room: 0 own, 1 idle elsewhere, 2 others' work stops
   Seconds start_s = 0;  // until a task of the job in question could run: the wait and its image's fetch
-  bool lasting = false;  // services run there
-  Seconds spoils_s = 0;  // what the place costs others, in seconds that the job in question gives up for it
-  bool shut = false;     // not for the job in question
+  bool lasting = false;    // services run there
+  Seconds spoils_s = 0;    // what the place costs others, in seconds that the job in question gives up for it
+  bool shut = false;       // not for the job in question
   Seconds fetching_s = 0;  // fetches under way there, which a further one would share the rate with
 };
 
@@ -33,16 +33,16 @@
 
 /// How long a machine of this type takes to fetch the job's image.
 Seconds fetch_time(const JobSpec& spec, const MachineType& type);
-/// Fills in `start_s` and `spoils_s` for this job; `pressed`: one that has to begin soon looks at what else is
-/// being fetched there as well.
+/// Fills in `start_s` and `spoils_s` for this job; `pressed`: one that has to begin soon looks at what else
+/// is being fetched there as well.
 void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins, bool pressed = false);
 /// When the last of the chosen tasks could run.
 Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins);
 
 /// Type, zone and kind, as the job allows them.
 bool allowed_on(const JobSpec& spec, TypeIndex type, ZoneIndex zone, bool spot);
-/// Some listed type and zone can hold one task, and the zones are enough for a job that has to be in two (of a
-/// catalog that is known).
+/// Some listed type and zone can hold one task, and the zones are enough for a job that has to be in two (of
+/// a catalog that is known).
 bool can_ever_run(const JobSpec& spec, const std::vector<MachineType>& catalog);
 
 /// Tasks per zone as they are possibly placed now, old attempts included.
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -202,7 +202,7 @@
   Effects later_;  // what outcomes bring about between passes
   std::map<std::uint64_t, Pending> pending_;
   std::set<std::pair<Seconds, JobIndex>> marks_due_;
-  double changes_ = 0;  // written of late, decaying
+  double changes_ = 0;     // written of late, decaying
   double lost_share_ = 0;  // of the answers of which reports told of late, those that were not taken
   Seconds passed_at_ = 0;
   std::map<std::uint32_t, Stamp> term_;  // by part: the claim we last prepared for
--- a/include/oxbowmill/core/settings.h
+++ b/include/oxbowmill/core/settings.h
@@ -29,7 +29,7 @@
   double give_back_s = 10;      // an empty machine of a part without waiting work goes to the pool after this
   double boot_patience = 5;     // times the type's boot time until a machine counts as stuck
   double refusal_pause_s = 10;
-  double rent_patience_s = 5;  // a job waits this long for room before machines are rented for it
+  double rent_patience_s = 5;   // a job waits this long for room before machines are rented for it
   double begin_within_s = 240;  // every job that can run is to have begun with all its tasks; 0: no promise
   double promise_share = 0.25;  // of a part's machines, that such jobs may take before other ranks
   bool use_spot = true;
--- a/include/oxbowmill/market/settings.h
+++ b/include/oxbowmill/market/settings.h
@@ -27,8 +27,8 @@
 struct MarketSettings {
   std::string name;
   MarketIndex index;
-  std::string address;  // "IPv4:port"
-  double rps = 4;       // requests a second to it
+  std::string address;   // "IPv4:port"
+  double rps = 4;        // requests a second to it
   bool paused = false;   // no new bids; open ones are followed and machines go back
   bool forgive = false;  // trade though it was shut out
 };
--- a/include/oxbowmill/models/keeper.h
+++ b/include/oxbowmill/models/keeper.h
@@ -1,6 +1,7 @@
-// Models that scale to zero and come back. The controllers agree on each round from cold to cold by one durable
-// decision with an epoch, so that calls which come at many of them at once lead to one cold start. Pure:
-// tables and the time in, changes of records out; placing asks through core's `Counsel`. docs/models.md.
+// Models that scale to zero and come back. The controllers agree on each round from cold to cold by one
+// durable decision with an epoch, so that calls which come at many of them at once lead to one cold start.
+// Pure: tables and the time in, changes of records out; placing asks through core's `Counsel`.
+// docs/models.md.
 #pragma once
 
 #include "oxbowmill/accord/accord.h"
--- a/include/oxbowmill/models/terms.h
+++ b/include/oxbowmill/models/terms.h
@@ -8,7 +8,7 @@
 
 struct Terms {
   std::string name;
-  std::string job_class, image;    // of its standing job: one of the two at least
+  std::string job_class, image;  // of its standing job: one of the two at least
   std::uint32_t least = 0, most = 1;
   double calls_per_replica = 8;
   std::vector<std::string> calls;  // classes of jobs
--- a/include/oxbowmill/progress/saved.h
+++ b/include/oxbowmill/progress/saved.h
@@ -1,6 +1,6 @@
 // Saved progress of tasks, as far as it can be known: workers report phases, never seconds. Bounds from what
-// was seen running, `save_every_s` and how fast machines may be. Pure arithmetic; docs/progress.md. Seconds of
-// a task's run time at the speed that its type has by name.
+// was seen running, `save_every_s` and how fast machines may be. Pure arithmetic; docs/progress.md. Seconds
+// of a task's run time at the speed that its type has by name.
 #pragma once
 
 #include <cstdint>
@@ -14,7 +14,8 @@
   double fastest = 1.25;
 };
 
-/// What a task can go on from. `low` is never above the truth while machines keep within the settings' speeds.
+/// What a task can go on from. `low` is never above the truth while machines keep within the settings'
+/// speeds.
 struct Saved {
   double low = 0, likely = 0, high = 0;
   bool any() const { return high > 0; }
--- a/include/oxbowmill/release/planner.h
+++ b/include/oxbowmill/release/planner.h
@@ -1,6 +1,7 @@
 // Holds the publishing jobs of paired editions until all of them have rendered from one revision, and then
-// lets all go by one durable decision. Pure: tables, final phases and the time come in; changes of records and
-// questions go out; placing asks through core's `Counsel`. docs/release.md has the states and the safety points.
+// lets all go by one durable decision. Pure: tables, final phases and the time come in; changes of records
+// and questions go out; placing asks through core's `Counsel`. docs/release.md has the states and the safety
+// points.
 #pragma once
 
 #include <functional>
@@ -48,7 +49,7 @@
     Stamp terms_stamp = 0, stamp = 0;
     std::optional<Terms> wanted;  // by the operators; none: taken out, or not readable
     std::optional<Terms> terms;   // of the round under way
-    bool readable = true;          // what is wanted
+    bool readable = true;         // what is wanted
     std::string state;
     std::map<std::string, std::set<std::string>> bound;  // by edition and matcher: jobs that were seen
     std::set<std::string> held;  // publishing jobs of revisions that were given up: they stay held
--- a/include/oxbowmill/release/times.h
+++ b/include/oxbowmill/release/times.h
@@ -10,16 +10,16 @@
 namespace oxbowmill::release {
 
 struct Appointed {
-  std::string zone = "UTC";         // of the tz database
-  std::vector<unsigned> weekdays;   // 0 Sunday to 6; empty: dated
-  std::string date;                 // "2026-12-24", if dated
-  unsigned second_of_day = 0;       // local
-  double window_s = 0;              // it may begin so long after; 0: at any time after
-  std::set<std::string> holidays;   // local dates that are passed over
+  std::string zone = "UTC";        // of the tz database
+  std::vector<unsigned> weekdays;  // 0 Sunday to 6; empty: dated
+  std::string date;                // "2026-12-24", if dated
+  unsigned second_of_day = 0;      // local
+  double window_s = 0;             // it may begin so long after; 0: at any time after
+  std::set<std::string> holidays;  // local dates that are passed over
 };
 
-/// The appointed instants in [from, to), in order. A local time that a clock change skips is the first instant
-/// after the gap; one that comes twice is the later of both: never early.
+/// The appointed instants in [from, to), in order. A local time that a clock change skips is the first
+/// instant after the gap; one that comes twice is the later of both: never early.
 std::vector<double> instants(const Appointed& a, double from, double to);
 /// Whether it may begin at `now`, the time of day at its earliest, of something known since `since`.
 bool is_open(const Appointed& a, double since, double now);
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -55,7 +55,7 @@
   Intake intake_;
   std::unique_ptr<recovery::Start> start_;  // null unless switched on
   Agreements agreements_;
-  std::unique_ptr<Trading> trading_;        // null without markets
+  std::unique_ptr<Trading> trading_;  // null without markets
   net::HttpClient cloud_;
   TokenBucket cloud_bucket_;
   std::deque<std::function<void()>> cloud_urgent_, cloud_rest_;
--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -7,8 +7,7 @@
 namespace oxbowmill::accord {
 
 bool Kind::allows(const std::string& from, const std::string& to) const {
-  return std::any_of(steps.begin(), steps.end(),
-                     [&](const Step& s) { return s.from == from && s.to == to; });
+  return std::any_of(steps.begin(), steps.end(), [&](const Step& s) { return s.from == from && s.to == to; });
 }
 
 Desk::Desk(Model& model, Scheduler& scheduler, double share)
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -407,7 +407,8 @@
     if (tasks.empty()) continue;
     left[part.v] -= static_cast<double>(tasks.size()) * j.spec.need;
     auto by_zone = tasks_by_zone(model_, j);
-    bool spare_whole = !pressing && scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
+    bool spare_whole =
+        !pressing && scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
     auto take = [&](std::vector<Bin>& from) {
       see_as(j.spec, model_, from);
       for (Bin& b : from) {
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -155,8 +155,8 @@
   Job& j = job(p.job);
   if (!settings.progress.enabled || j.spec.save_every_s <= 0 || p.running_at < 0) return;
   bool gang = j.spec.shape == Shape::gang;
-  // A gang's progress is one. The first of an attempt to leave decides what is saved: once it has gone without
-  // a save, whatever another says it stored is of no use (PROTOCOL, "Gangs").
+  // A gang's progress is one. The first of an attempt to leave decides what is saved: once it has gone
+  // without a save, whatever another says it stored is of no use (PROTOCOL, "Gangs").
   if (gang && j.saved_attempt == p.attempt) return;
   j.saved_attempt = p.attempt;
   progress::Ran ran{p.ran_s, now - p.started_at};
@@ -474,7 +474,7 @@
     m.first_report = -1;
     m.tenure = m.serial = 0;  // reports held back from an earlier term must not pass for news
     m.first_token = m.unheard = 0;
-    m.placed_at = 0;          // an owner in between may have moved it: the claim's stamp is higher
+    m.placed_at = 0;  // an owner in between may have moved it: the claim's stamp is higher
     m.part_since = m.idle_since = now;
     m.taken_over = true;
     if (m.state != MachineState::deleting) {
@@ -486,16 +486,17 @@
       p->taken_over = true;
       p->started_at = now;
       // Its predecessor's clock goes on where the record tells when it was placed: a little late, since the
-      // start order followed later and clocks differ. (Begun anew, what takes over flags later than an unbroken
-      // owner, and what then finishes would count as short, and flag others too early.)
+      // start order followed later and clocks differ. (Begun anew, what takes over flags later than an
+      // unbroken owner, and what then finishes would count as short, and flag others too early.)
       double since = job(id.job).spec.submitted_at;
       if (settings.progress.enabled && p->placed_at_s >= 0 && wall_ahead != 0 && since > 0) {
         double late = settings.report_s + late_reading_s;
         double elapsed = now + wall_ahead - since - p->placed_at_s - late;
         p->started_at = std::max(1e-3, now - std::max(0.0, elapsed));
-        // Has begun, as its earlier owner saw: after a crash of all controllers every old job looked as if it never
-        // had, and one that really had not waited behind hundreds (374 s, with 250 machines lost).
-        if (elapsed > longest_fetch(*this, job(id.job).spec) + begun_after_s) note_begun(job(id.job), p->task);
+        // Has begun, as its earlier owner saw: after a crash of all controllers every old job looked as if it
+        // never had, and one that really had not waited behind hundreds (374 s, with 250 machines lost).
+        if (elapsed > longest_fetch(*this, job(id.job).spec) + begun_after_s)
+          note_begun(job(id.job), p->task);
       }
       p->sent_serial = p->sent_tenure = 0;
       p->want_restart = false;
@@ -518,7 +519,8 @@
       // What has saved progress has begun; of a gang all of it.
       for (const auto& [t, s] : j.saved) {
         if (!s.any()) continue;
-        for (TaskNo of = t; of < (j.spec.shape == Shape::gang ? j.spec.tasks : t + 1); ++of) note_begun(j, of);
+        for (TaskNo of = t; of < (j.spec.shape == Shape::gang ? j.spec.tasks : t + 1); ++of)
+          note_begun(j, of);
       }
     }
     // A placement is written only beside its machine's record, and the record goes only once the machine is
--- a/src/core/order.cpp
+++ b/src/core/order.cpp
@@ -125,7 +125,8 @@
       for (Entry& e : due) {
         const JobSpec& s = model.job(e.job).spec;
         if (e.tier < 0)
-          e.key = s.submitted_at + times * s.deadline_s - clock.wall - model.job(e.job).remaining_s() - start_margin_s;
+          e.key = s.submitted_at + times * s.deadline_s - clock.wall - model.job(e.job).remaining_s() -
+                  start_margin_s;
         jobs.push_back({e.key, model.job(e.job).pending() * model.job(e.job).share});
       }
       auto given_up = give_up_late(jobs, rate);
--- a/src/core/promise.cpp
+++ b/src/core/promise.cpp
@@ -3,12 +3,12 @@
 namespace oxbowmill {
 
 namespace {
-// Of the time within which a job is to begin, how much is left when it is no longer stopped, when it is first in
-// its rank and when it goes before other ranks. What is put first costs others their deadlines, and where there is
-// never room enough all would be put first in the end: so as late as room can still be gathered.
+// Of the time within which a job is to begin, how much is left when it is no longer stopped, when it is first
+// in its rank and when it goes before other ranks. What is put first costs others their deadlines, and where
+// there is never room enough all would be put first in the end: so as late as room can still be gathered.
 constexpr double protected_share = 0.4, pressing_share = 0.25, lifted_share = 0.12;
-// A machine may fetch a third slower than its type says; where several tasks fit, the fetch of another's image
-// may share its rate for as long.
+// A machine may fetch a third slower than its type says; where several tasks fit, the fetch of another's
+// image may share its rate for as long.
 constexpr double slow_fetch = 1.5, shared_fetch = 1;
 
 }  // namespace
@@ -38,7 +38,7 @@
 Promise promise_of(const Model& model, const JobSpec& spec, double wall) {
   Seconds slack = promise_slack(model, spec, wall);
   double within = model.settings.op.begin_within_s;
-  return slack < lifted_share * within     ? Promise::lifted
+  return slack < lifted_share * within      ? Promise::lifted
          : slack < pressing_share * within  ? Promise::pressing
          : slack < protected_share * within ? Promise::protected_
                                             : Promise::ample;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -16,7 +16,7 @@
 constexpr double changes_memory_s = 5;
 constexpr double patient_keep = 3;  // times as long is an empty machine kept while something waits
 constexpr double collect_from_share =
-    0.15;                           // of the changes a second, from which on an owner collects done marks
+    0.15;  // of the changes a second, from which on an owner collects done marks
 constexpr double wait_told_after_s = 60, wait_told_every_s = 30;
 constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
@@ -420,8 +420,8 @@
       machines.insert(t.machine);
       written.push_back(t);
     }
-    for (auto it = j.saved.lower_bound(c * chunk_tasks); it != j.saved.end() && it->first < (c + 1) * chunk_tasks;
-         ++it) {
+    for (auto it = j.saved.lower_bound(c * chunk_tasks);
+         it != j.saved.end() && it->first < (c + 1) * chunk_tasks; ++it) {
       if ((rec.done & bit(it->first)) == 0 && it->second.any()) rec.saved.insert(*it);
     }
     txn.guards.push_back({ChunkKey{ji, c}, stamp});
--- a/src/lab/agreed_world.cpp
+++ b/src/lab/agreed_world.cpp
@@ -146,8 +146,9 @@
     double on = 0, until = -1e9;
     std::sort(busy.begin(), busy.end());
     for (const auto& [from, to] : busy) {
-      on += from - until <= s.fetch_s ? std::max(0.0, to - std::max(until, from)) + std::max(0.0, from - until)
-                                      : s.fetch_s + to - from;
+      on += from - until <= s.fetch_s
+                ? std::max(0.0, to - std::max(until, from)) + std::max(0.0, from - until)
+                : s.fetch_s + to - from;
       until = std::max(until, to);
     }
     row.gpu_hours = on * 4 / 3600;
@@ -212,7 +213,8 @@
       continue;
     }
     if (way != "unpaired")
-      to_publish.push_back(std::max(w.first.at("run-pub-ar" + tag), w.first.at("run-pub-fr" + tag)) - rendered);
+      to_publish.push_back(std::max(w.first.at("run-pub-ar" + tag), w.first.at("run-pub-fr" + tag)) -
+                           rendered);
   }
   row.to_publish_median = quantile(to_publish, 0.5);
   row.to_publish_max = quantile(to_publish, 1);
@@ -249,7 +251,8 @@
     for (const std::string& w : s.releases ? release_ways : model_ways) rows.push_back({w, seed});
   }
   in_parallel(rows.size(), threads, [&](std::size_t i) {
-    rows[i] = s.releases ? play_release(s, rows[i].way, rows[i].seed) : play_model(s, rows[i].way, rows[i].seed);
+    rows[i] =
+        s.releases ? play_release(s, rows[i].way, rows[i].seed) : play_model(s, rows[i].way, rows[i].seed);
   });
   return rows;
 }
--- a/src/models/keeper.cpp
+++ b/src/models/keeper.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr double pass_every_s = 0.25;
-constexpr double take_back_s = 2;      // between the decision to cool and the first stop
+constexpr double take_back_s = 2;  // between the decision to cool and the first stop
 constexpr std::uint32_t vain_tries = 5;
-constexpr double lasting_s = 60;       // a try that has lasted so long is not in vain
+constexpr double lasting_s = 60;  // a try that has lasted so long is not in vain
 constexpr std::size_t starts_kept = 9;
 const std::string replicas_count = "replicas", job_note = "job";
 
@@ -222,7 +222,8 @@
     if (!wants && clock.now - k.busy_at > idle) {
       k.cooling_since = -1;
       k.stopping = false;
-      put(k, std::move(next), cooling, 0, clock, out, "idle for " + std::to_string(static_cast<int>(idle)) + " s");
+      put(k, std::move(next), cooling, 0, clock, out,
+          "idle for " + std::to_string(static_cast<int>(idle)) + " s");
       return;
     }
     wanted = std::max(1U, wanted);
--- a/src/release/planner.cpp
+++ b/src/release/planner.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr double pass_every_s = 0.25;
-constexpr double ask_again_s = 5;      // a job that nobody knows yet
-constexpr double later_half_s = 60;    // how much sooner the later half of a pair goes in its rank
+constexpr double ask_again_s = 5;    // a job that nobody knows yet
+constexpr double later_half_s = 60;  // how much sooner the later half of a pair goes in its rank
 const std::string stands = "stands", removed = "removed";
 const std::string terms_note = "terms", held_note = "held";
 
@@ -249,7 +249,8 @@
 
 bool Planner::matches(const Matcher& m, const JobSpec& spec) const {
   if (!m.ref.empty()) return m.ref == spec.ref;
-  return spec.job_class.valid() && spec.image.valid() && model_.names.classes.name(spec.job_class) == m.job_class &&
+  return spec.job_class.valid() && spec.image.valid() &&
+         model_.names.classes.name(spec.job_class) == m.job_class &&
          model_.names.images.name(spec.image) == m.image;
 }
 
@@ -325,7 +326,8 @@
   std::optional<Missing> first;
   for (std::size_t i = 0; i < plan.terms->editions.size(); ++i) {
     const Edition& e = plan.terms->editions[i];
-    for (std::size_t k = publishing ? e.renders.size() : 0; k < e.renders.size() + (publishing ? 1 : 0); ++k) {
+    for (std::size_t k = publishing ? e.renders.size() : 0; k < e.renders.size() + (publishing ? 1 : 0);
+         ++k) {
       const Matcher& m = k < e.renders.size() ? e.renders[k] : e.publish;
       auto jobs = jobs_of(plan, i, k);
       for (const std::string& ref : jobs) {
@@ -336,8 +338,8 @@
         if (!first || (x.cancelled && !first->cancelled)) first = std::move(x);
       }
       if (jobs.size() < m.count && !first) {
-        first = Missing{std::to_string(m.count - jobs.size()) + " more " + m.job_class + " of edition " + e.name,
-                        false};
+        first = Missing{
+            std::to_string(m.count - jobs.size()) + " more " + m.job_class + " of edition " + e.name, false};
       }
     }
   }
--- a/src/release/terms.cpp
+++ b/src/release/terms.cpp
@@ -41,7 +41,7 @@
   }
   if (t.when) {
     const Appointed& a = *t.when;
-    j["when"] = {{"zone", a.zone},         {"weekdays", a.weekdays}, {"date", a.date},
+    j["when"] = {{"zone", a.zone},        {"weekdays", a.weekdays}, {"date", a.date},
                  {"at", a.second_of_day}, {"window", a.window_s},   {"holidays", a.holidays}};
   }
   return j.dump();
@@ -92,7 +92,8 @@
     for (const Matcher& m : e.renders) all.push_back(&m);
     for (const Matcher* m : all) {
       bool by_rule = !m->job_class.empty() && !m->image.empty();
-      if (m->ref.empty() == !by_rule) return "editions: " + e.name + ": a job is named by its id, or by class and image";
+      if (m->ref.empty() == !by_rule)
+        return "editions: " + e.name + ": a job is named by its id, or by class and image";
       if (m->count == 0) return "editions: " + e.name + ": count: must be at least 1";
     }
     if (!publish.insert(e.publish.ref + " " + e.publish.job_class + " " + e.publish.image).second)
--- a/src/service/agreements.cpp
+++ b/src/service/agreements.cpp
@@ -21,7 +21,8 @@
   planner_.ask = [this, &store, now](const std::string& ref) {
     store.get(state::final_key(ref), Urgency::rest, [this, ref, now](const state::StoreAnswer& a) {
       if (a.status == 404) return planner_.on_final(ref, std::nullopt, now());
-      auto phase = a.status == 200 && a.body.contains("value") ? state::read_phase(a.body["value"]) : std::nullopt;
+      auto phase =
+          a.status == 200 && a.body.contains("value") ? state::read_phase(a.body["value"]) : std::nullopt;
       if (!phase) return planner_.on_no_answer(ref);
       planner_.on_final(ref, *phase, now());
     });
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -15,8 +15,8 @@
 constexpr double catalog_every_s = 60;
 constexpr double claim_stagger_s = 0.6;  // between the preferred node's attempt and the next one's
 constexpr double registration_every_s = 1;
-constexpr double pass_on_s = 30;         // how long reports are passed on before their owner is tried again
-constexpr double young_s = 5;            // a node that started so lately does not know who else is there
+constexpr double pass_on_s = 30;  // how long reports are passed on before their owner is tried again
+constexpr double young_s = 5;     // a node that started so lately does not know who else is there
 }  // namespace
 
 double Node::now() {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -10,7 +10,8 @@
 constexpr double call_timeout_s = 2.0;
 constexpr double user_wait_s = 0.8;  // longer than this no user's request waits here for its turn
 // A call that gets no answer holds its connection until it times out. With six of them a share of unanswered
-// transactions, or a slow service, held up everything else: polls, placements and the transactions' own repeats.
+// transactions, or a slow service, held up everything else: polls, placements and the transactions' own
+// repeats.
 constexpr std::size_t connections = 32;
 }  // namespace
 
--- a/tests/accord_test.cpp
+++ b/tests/accord_test.cpp
@@ -147,7 +147,8 @@
 RC_GTEST_PROP(AccordProps, RecordIsAChainOfAllowedSteps, ()) {
   Cluster c;
   std::vector<std::unique_ptr<Desk>> desks;
-  for (std::size_t i : {0, 1}) desks.push_back(std::make_unique<Desk>(c.node(i).model, c.node(i).scheduler, 1));
+  for (std::size_t i : {0, 1})
+    desks.push_back(std::make_unique<Desk>(c.node(i).model, c.node(i).scheduler, 1));
   std::vector<lab::Json> late;
   const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
   for (int s : steps) {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -266,10 +266,12 @@
       {calendar, "version: 3", "versoin: 3", "calendar.version: missing"},
       {calendar, "revision: r1", "", "calendar.releases[0].revision: missing"},
       {calendar, "count: 2", "cuont: 2", "calendar.releases[0].editions.ar.render[0].cuont: unknown setting"},
-      {calendar, "publish: run-2", "publish: run-1", "calendar.releases[0].editions: two publish by the same job"},
+      {calendar, "publish: run-2", "publish: run-1",
+       "calendar.releases[0].editions: two publish by the same job"},
       {calendar, "        fr: {render: [run-8], publish: run-2}\n", "",
        "calendar.releases[0].editions: a release pairs two or more"},
-      {calendar, "zone: Africa/Tunis", "zone: Africa/Carthage", "calendar.releases[0].when.zone: no such time zone"},
+      {calendar, "zone: Africa/Tunis", "zone: Africa/Carthage",
+       "calendar.releases[0].when.zone: no such time zone"},
       {calendar, "[mon]", "[moonday]", "calendar.releases[0].when.weekly: not a day of the week"},
       {calendar, "\"06:30\"", "\"26:30\"", "calendar.releases[0].when.at: not a time of day"},
       {models, "calls: [call]", "clals: [call]", "models.list[0].calls: missing"},
@@ -287,8 +289,8 @@
 }
 
 TEST_F(Config, ShippedCalendarAndModelsAreValid) {
-  auto c = config::load(write("good.toml", good),
-                        {std::string(DEPLOY_DIR) + "/calendar.yaml", std::string(DEPLOY_DIR) + "/models.yaml"});
+  auto c = config::load(write("good.toml", good), {std::string(DEPLOY_DIR) + "/calendar.yaml",
+                                                   std::string(DEPLOY_DIR) + "/models.yaml"});
   EXPECT_EQ(c.calendar.releases.size(), 1U);
   EXPECT_EQ(c.models.models.size(), 1U);
   auto none = config::load(write("good.toml", good), {std::string(DEPLOY_DIR) + "/operator.yaml"});
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -237,7 +237,8 @@
 }
 
 TEST(Meetings, AReportOfAMachineThatIsGoneCostsItsNewLeaderTimeAndNothingElse) {
-  // It reaches the leader after the machine was deleted: taken in, handed to the part that waits, and given up.
+  // It reaches the leader after the machine was deleted: taken in, handed to the part that waits, and given
+  // up.
   Cluster c;
   c.add_stranger("gone");
   WorkerReport late = c.worker("gone").report(c.now);
--- a/tests/models_test.cpp
+++ b/tests/models_test.cpp
@@ -1,4 +1,5 @@
-// Models that scale to zero and come back (docs/models.md): one cold start an epoch, through failing controllers.
+// Models that scale to zero and come back (docs/models.md): one cold start an epoch, through failing
+// controllers.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -78,7 +79,8 @@
   std::uint32_t replicas() {
     std::uint32_t n = 0;
     for (const std::string& m : machines()) {
-      for (const auto& [id, t] : c.worker(m).tasks()) n += t.job == "run-model" && t.phase != TaskPhase::ended;
+      for (const auto& [id, t] : c.worker(m).tasks())
+        n += t.job == "run-model" && t.phase != TaskPhase::ended;
     }
     return n;
   }
@@ -96,7 +98,8 @@
   }
   std::string state() { return record() == nullptr ? "" : record()->at("s").get<std::string>(); }
   std::uint64_t epoch() { return record() == nullptr ? 0 : record()->value("e", std::uint64_t{0}); }
-  /// From outside: in a warming epoch at most one replica is placed, in cold none; and epochs only follow cold.
+  /// From outside: in a warming epoch at most one replica is placed, in cold none; and epochs only follow
+  /// cold.
   void check() {
     EXPECT_TRUE(c.log.twice.empty());
     std::size_t placed = 0;
@@ -320,7 +323,8 @@
       switch (pick(10)) {
         case 0:
         case 1:
-          for (int i = pick(4); i >= 0; --i) s.submit("run-call" + std::to_string(calls++), "call", 1, pick(2) == 0);
+          for (int i = pick(4); i >= 0; --i)
+            s.submit("run-call" + std::to_string(calls++), "call", 1, pick(2) == 0);
           break;
         case 2:
         case 3:
--- a/tests/progress_test.cpp
+++ b/tests/progress_test.cpp
@@ -1,11 +1,10 @@
 // Saved progress (docs/progress.md): bounds against the truth, resumption after losses, the detector through
 // takeovers, records of earlier versions.
-#include "oxbowmill/progress/saved.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include "oxbowmill/lab/cluster.h"
+#include "oxbowmill/progress/saved.h"
 
 namespace oxbowmill {
 namespace {
@@ -47,8 +46,8 @@
   }
 }
 
-/// A task that runs on machines of changing speed, is lost or stopped again and again, and is reported now and
-/// then: the truth lies between the bounds, and the lower one never falls.
+/// A task that runs on machines of changing speed, is lost or stopped again and again, and is reported now
+/// and then: the truth lies between the bounds, and the lower one never falls.
 RC_GTEST_PROP(ProgressProps, TruthLiesBetweenTheBounds, ()) {
   double every = *rc::gen::element(10.0, 30.0, 45.0), truth = 0;
   Saved saved;
@@ -59,11 +58,13 @@
     double wait = *rc::gen::inRange(0, 200) / 10.0, ran = *rc::gen::inRange(0, 3000) / 10.0;
     bool stored = *rc::gen::inRange(0, 3) == 0;
     // Reports show it running within what it ran; the start order came before, its end is heard of later.
-    double first = *rc::gen::inRange(0, 10) / 10.0 * report_s, last = ran - *rc::gen::inRange(0, 10) / 10.0 * report_s;
+    double first = *rc::gen::inRange(0, 10) / 10.0 * report_s,
+           last = ran - *rc::gen::inRange(0, 10) / 10.0 * report_s;
     Ran seen{std::max(0.0, last - first), wait + ran + report_s};
     double reached = truth + ran * speed;
     truth = stored ? reached : std::max(truth, std::floor(reached / every) * every);
-    Saved next = stored ? progress::after_store(saved, seen, every, on()) : progress::after_loss(saved, seen, every, on());
+    Saved next = stored ? progress::after_store(saved, seen, every, on())
+                        : progress::after_loss(saved, seen, every, on());
     RC_ASSERT(next.low >= saved.low);
     saved = progress::merged(saved, next);
     RC_ASSERT(saved.low <= truth + 1e-9);
@@ -81,7 +82,8 @@
       m.wall_ahead = 1e-6;  // known
       m.settings.op.give_back_s = 1e6;
     }
-    for (std::uint32_t i = 0; i < tasks + 1; ++i) c.add_machine("m" + std::to_string(i), i % 2 == 0 ? "a" : "b");
+    for (std::uint32_t i = 0; i < tasks + 1; ++i)
+      c.add_machine("m" + std::to_string(i), i % 2 == 0 ? "a" : "b");
     JobSpec s = test_job("run-1", tasks, gpus);
     s.shape = shape;
     s.estimate_s = 100;
@@ -148,7 +150,8 @@
 }
 
 TEST(Progress, DetectorSeesWhatAnUnbrokenOwnerWould) {
-  // Four tasks, three finish after 40 s each, under two owners; the fourth is then compared with their median.
+  // Four tasks, three finish after 40 s each, under two owners; the fourth is then compared with their
+  // median.
   Tracked t(4, Shape::array, 2);
   t.c.run(38);
   t.c.worker(t.at(0)).finish("run-1/0", EndCause::done);
@@ -189,13 +192,15 @@
   rec.saved[2] = {3.9, 31.2, 60.1};
   rec.finishes = {{0, 41.26, 55.5}};
   lab::Json now = state::encode_value(*change, m);
-  EXPECT_EQ(now.dump(), R"({"a":[[1,"m1",77,0,12]],"d":"1","r":"0","s":[[2,3.0,31.0,61.0]],"t":[[0,41.3,55.0]]})");
+  EXPECT_EQ(now.dump(),
+            R"({"a":[[1,"m1",77,0,12]],"d":"1","r":"0","s":[[2,3.0,31.0,61.0]],"t":[[0,41.3,55.0]]})");
   // What the earlier version reads of it is what it wrote itself.
   for (const char* key : {"d", "r"}) EXPECT_EQ(now.at(key), old.at(key));
   auto back = state::decode("o/c/run-1/0", &now, m);
   ASSERT_TRUE(back.has_value());
   EXPECT_DOUBLE_EQ(std::get<ChunkRecord>(back->value).saved.at(2).low, 3);
-  for (const char* junk : {R"({"a":[],"s":[[1]],"t":"x"})", R"({"a":[],"s":[["a","b","c","d"]],"t":[null]})"}) {
+  for (const char* junk :
+       {R"({"a":[],"s":[[1]],"t":"x"})", R"({"a":[],"s":[["a","b","c","d"]],"t":[null]})"}) {
     lab::Json j = lab::Json::parse(junk);
     auto read = state::decode("o/c/run-1/0", &j, m);
     ASSERT_TRUE(read.has_value()) << junk;
@@ -211,7 +216,8 @@
   c.node(0).sync(c.now);
   ChunkRecord rec;
   for (TaskNo t = 0; t < 64; ++t) {
-    rec.placed.push_back({t, m.intern_machine("market-north.host-" + std::to_string(1000 + t)), 1ULL << 50, false, 99});
+    rec.placed.push_back(
+        {t, m.intern_machine("market-north.host-" + std::to_string(1000 + t)), 1ULL << 50, false, 99});
     rec.saved[t] = {10000, 20000, 30000};
   }
   lab::Json j = state::encode_value({ChunkKey{m.find_job("run-1"), 0}, rec}, m);
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -1,4 +1,5 @@
-// Paired editions (docs/release.md): publishing waits for all twins of a revision, through failing controllers.
+// Paired editions (docs/release.md): publishing waits for all twins of a revision, through failing
+// controllers.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -295,7 +296,8 @@
   EXPECT_EQ(n.model.advice(job).most, Advice::any);
   lab::Json rec = p.c.state.keys().at("o/d/release/manual").value;
   rec["s"] = "rendering";
-  p.c.state.txn({{"guards", lab::Json::array()}, {"apply", {{{"put", "o/d/release/manual"}, {"value", rec}}}}});
+  p.c.state.txn(
+      {{"guards", lab::Json::array()}, {"apply", {{{"put", "o/d/release/manual"}, {"value", rec}}}}});
   n.sync(p.c.now);
   EXPECT_EQ(n.model.advice(job).most, 0U);
 }
@@ -333,9 +335,22 @@
   const Case cases[] = {
       {"dated", "Africa/Tunis", {}, "2026-03-29", 6 * 3600, {}, mar29 - 86400, mar29 + 5 * 3600},
       {"weekly", "Europe/Paris", {1}, "", 6 * 3600, {}, mar29, mar29 + 86400 + 4 * 3600},
-      {"spring forward: skipped, so the end of the gap", "Europe/Paris", {0}, "", 9000, {}, mar29, mar29 + 3600},
+      {"spring forward: skipped, so the end of the gap",
+       "Europe/Paris",
+       {0},
+       "",
+       9000,
+       {},
+       mar29,
+       mar29 + 3600},
       {"fall back: twice, so the later", "Europe/Paris", {0}, "", 9000, {}, oct25, oct25 + 5400},
-      {"a holiday is passed over", "Europe/Paris", {0}, "", 0, {"2026-03-29"}, mar29 - 7200,
+      {"a holiday is passed over",
+       "Europe/Paris",
+       {0},
+       "",
+       0,
+       {"2026-03-29"},
+       mar29 - 7200,
        mar29 + 7 * 86400 - 7200},
   };
   for (const Case& k : cases) {
