--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -42,8 +42,8 @@
             unsigned long long one, const std::string& policy) {
   lab::Scenario s = lab::load_scenario(file);
   if (one != 0) {
-    auto p = std::find_if(std::begin(lab::policies), std::end(lab::policies),
-                          [&](lab::Policy x) { return policy == lab::name_of(x); });
+    const auto* p = std::find_if(std::begin(lab::policies), std::end(lab::policies),
+                                 [&](lab::Policy x) { return policy == lab::name_of(x); });
     if (p == std::end(lab::policies)) throw std::runtime_error("--policy: none is named " + policy);
     std::cout << lab::table(s.name, lab::summarise({{*p, one, lab::MarketWorld(s, *p, one).run()}}));
     return 0;
@@ -56,8 +56,8 @@
             const std::string& report, unsigned long long one, const std::string& way) {
   lab::FleetScenario s = lab::load_fleet_scenario(file, fleet);
   if (one != 0) {
-    auto w = std::find_if(std::begin(lab::ways), std::end(lab::ways),
-                          [&](lab::Way x) { return way == lab::name_of(x); });
+    const auto* w = std::find_if(std::begin(lab::ways), std::end(lab::ways),
+                                 [&](lab::Way x) { return way == lab::name_of(x); });
     if (w == std::end(lab::ways)) throw std::runtime_error("--way: none is named " + way);
     std::cout << lab::csv(s.name, {{*w, one, lab::FleetWorld(s, *w, one).run()}});
     return 0;
--- a/include/oxbowmill/client/client.h
+++ b/include/oxbowmill/client/client.h
@@ -48,7 +48,7 @@
   void start(evhttp_cmd_type method, std::string path, std::string body, Patience patience, ReplyFn fn);
   void go_on(Request& r);
   void finish(Request& r, Reply o);
-  void ask_again(std::uint64_t wait);
+  void ask_again(std::uint64_t id);
 
   event_base* base_;
   std::vector<net::Address> nodes_;
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -238,7 +238,7 @@
   Placement* find_placement(TaskId id);
   const Placement* find_placement(TaskId id) const { return const_cast<Model*>(this)->find_placement(id); }
   /// Takes (or gives back, with -1) room and quota for a task whose placement is being written.
-  void reserve(MachineIndex m, const JobSpec& spec, int sign);
+  void reserve(MachineIndex i, const JobSpec& spec, int sign);
   /// What durable decisions say of the job.
   Advice advice(JobIndex j) const;
   /// Of its pending tasks, how many may be placed now.
@@ -255,7 +255,7 @@
   /// The only place where a placement's state changes.
   void set_state(Placement& p, PlacementState s, Seconds now);
   /// The only place where a machine's state changes.
-  void set_state(MachineIndex m, MachineState s, Seconds now);
+  void set_state(MachineIndex i, MachineState s, Seconds now);
   void image_used(Machine& m, const JobSpec& spec);
   static bool has_image(const Machine& m, ImageIndex image);
   void take_over(PartIndex part, Seconds now);
@@ -272,18 +272,18 @@
   std::set<MachineIndex> kick;           // machines with kills to be sent at once
 
  private:
-  void apply_job(JobIndex j, const JobRecord* rec, Stamp stamp, Seconds now);
+  void apply_job(JobIndex index, const JobRecord* rec, Stamp stamp, Seconds now);
   void apply_chunk(const ChunkKey& key, const ChunkRecord* rec, Stamp stamp, Seconds now);
   void apply_money(const Change& change, Stamp stamp);
-  void apply_machine(MachineIndex m, const MachineRecord* rec, Stamp stamp, Seconds now);
+  void apply_machine(MachineIndex index, const MachineRecord* rec, Stamp stamp, Seconds now);
   static void note_begun(Job& j, TaskNo task);
   /// A task has left its machine: what it can go on from.
   void note_saved(const Placement& p, Seconds now);
-  void add_placement(Job& j, const PlacedTask& p, JobIndex index, Seconds now);
+  void add_placement(Job& j, const PlacedTask& t, JobIndex index, Seconds now);
   /// Room and quota that a task takes up, from its placement until it is proved to be off.
   void occupy(const Job& j, const Placement& p, int sign);
   void remove_placement(Job& j, std::map<TaskNo, Placement>::iterator it, Seconds now);
-  void drop_if_empty(JobIndex j);
+  void drop_if_empty(JobIndex index);
   /// How much of a machine one task takes up, on the allowed type that holds most of them.
   double share_of_machine(const JobSpec& spec) const;
 
--- a/include/oxbowmill/lab/cluster.h
+++ b/include/oxbowmill/lab/cluster.h
@@ -28,7 +28,7 @@
 
 class Controller {
  public:
-  Controller(const std::string& name, State& state, Settings settings, Names names = test_names(),
+  Controller(std::string name, State& state, Settings settings, Names names = test_names(),
              std::vector<MachineType> catalog = test_catalog());
 
   /// Reads what there is, as a controller that has just started does.
@@ -37,7 +37,7 @@
   void sync(double now) { hear_up_to(state_.events().size(), state_.revision(), now, now); }
   /// Hears the first so many changes, up to that revision, in the answer to a watch that was opened at
   /// `asked`.
-  void hear_up_to(std::size_t events, std::uint64_t revision, double asked, double now);
+  void hear_up_to(std::size_t count, std::uint64_t revision, double asked, double now);
   bool claim(PartIndex part, double now);
   void claim_all(double now);
   void renew(double now);
@@ -102,7 +102,7 @@
   /// The user's withdrawal; the status of its transaction.
   int withdraw(const std::string& ref);
   /// One exchange of a worker with a controller; `lost`: the response does not arrive.
-  ReportAnswer exchange(const std::string& worker, std::size_t node, bool lost = false);
+  ReportAnswer exchange(const std::string& name, std::size_t node, bool lost = false);
   /// Passes and exchanges of node `n` with all workers that are not silenced, for this long.
   void run(double seconds, std::size_t n = 0);
   void kill_node(std::size_t n);
--- a/include/oxbowmill/lab/crew.h
+++ b/include/oxbowmill/lab/crew.h
@@ -15,7 +15,7 @@
   std::vector<std::thread> crew;
   for (unsigned t = 0; t < std::max(1U, threads); ++t) {
     crew.emplace_back([&] {
-      for (std::size_t i; (i = next++) < n;) run(i);
+      for (std::size_t i = 0; (i = next++) < n;) run(i);
     });
   }
   for (std::thread& t : crew) t.join();
--- a/include/oxbowmill/models/keeper.h
+++ b/include/oxbowmill/models/keeper.h
@@ -30,7 +30,7 @@
   void pass(Clock clock, Effects& out);
 
   // core's Counsel
-  void advise(JobIndex job, Advice& advice) const override;
+  void advise(JobIndex ji, Advice& advice) const override;
   std::vector<TaskId> unwanted(PartIndex part) const override;
   /// Why calls of the model wait, for logs and tests.
   const std::string& why(const std::string& model) const;
--- a/include/oxbowmill/net/http.h
+++ b/include/oxbowmill/net/http.h
@@ -131,7 +131,7 @@
   struct Job;
   struct Slot;
   void pump();
-  static void on_done(evhttp_request* req, void* job);
+  static void on_done(evhttp_request* req, void* arg);
   event_base* base_;
   Address address_;
   std::size_t most_body_;
--- a/include/oxbowmill/release/planner.h
+++ b/include/oxbowmill/release/planner.h
@@ -39,7 +39,7 @@
   void on_no_answer(const std::string& ref) { asked_.erase(ref); }
 
   // core's Counsel
-  void advise(JobIndex job, Advice& advice) const override;
+  void advise(JobIndex ji, Advice& advice) const override;
   /// Why a release has not been decided, for logs and tests.
   const std::string& waits_for(const std::string& release) const;
 
--- a/include/oxbowmill/service/agreements.h
+++ b/include/oxbowmill/service/agreements.h
@@ -13,7 +13,7 @@
  public:
   /// Registers itself as the model's counsel. `now`: seconds, steady.
   Agreements(Model& model, Scheduler& scheduler, state::Store& store, const config::Config& config,
-             std::function<double()> now);
+             const std::function<double()>& now);
   ~Agreements();
   /// Before the scheduler's pass, so that decisions made here are known to it; under full authority.
   void pass(Clock clock, Effects& out);
--- a/include/oxbowmill/service/node.h
+++ b/include/oxbowmill/service/node.h
@@ -34,7 +34,7 @@
   void send_direct(const DirectOrders& d);
   void send_rent(const RentOrder& r);
   void send_deletes(const std::vector<MachineIndex>& machines);
-  void list_page(const std::string& from, std::shared_ptr<std::vector<ListedMachine>> so_far);
+  void list_page(const std::string& from, const std::shared_ptr<std::vector<ListedMachine>>& so_far);
   void cloud_call(bool urgent, std::function<void()> fn);
   void pump_cloud();
   void fetch_catalog();
--- a/include/oxbowmill/wire/codec.h
+++ b/include/oxbowmill/wire/codec.h
@@ -1,6 +1,7 @@
 // The only place that knows the names on the wire. Bodies are CBOR maps; names become indices here.
 #pragma once
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -11,7 +12,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t most_body = 64 * 1024;
+constexpr std::size_t most_body = std::size_t{64} * 1024;
 
 /// Decodes a body; nothing when it is not CBOR, has trailing bytes, is too large or is not a map.
 std::optional<Json> decode_map(const std::string& body);
--- a/include/oxbowmill/wire/market_codec.h
+++ b/include/oxbowmill/wire/market_codec.h
@@ -2,6 +2,8 @@
 // suspicion: a number that is not finite, negative or beyond reason is no number.
 #pragma once
 
+#include <cstddef>
+
 #include "oxbowmill/market/calls.h"
 #include "oxbowmill/wire/codec.h"
 
@@ -14,7 +16,7 @@
 };
 MarketRequest write_market_call(const market::Call& c, const Names& names);
 
-constexpr std::size_t most_market_body = 256 * 1024;
+constexpr std::size_t most_market_body = std::size_t{256} * 1024;
 /// Reads a response; status 0: there was none.
 market::Answer read_market_answer(const market::Call& c, int status, const std::string& body,
                                   double retry_after_s, const Names& names);
--- a/src/client/attempts.cpp
+++ b/src/client/attempts.cpp
@@ -30,9 +30,9 @@
     : patience_(patience),
       nodes_(std::max<std::size_t>(nodes, 1)),
       random_(seed),
+      node_(random_() % nodes_),
       ends_at_(now + patience.total_s) {
   // Clients that start together spread over the nodes.
-  node_ = random_() % nodes_;
 }
 
 void Attempts::set_state(AttemptState s) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -61,7 +61,7 @@
     for (const auto& e : *a) {
       std::string name = std::string(key) + "[" + std::to_string(i++) + "]";
       if (e.as_table() == nullptr) fail(name, "not a table");
-      out.push_back({file_, at_.empty() ? name : at_ + "." + name, e.as_table()});
+      out.emplace_back(file_, at_.empty() ? name : at_ + "." + name, e.as_table());
     }
     return out;
   }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -400,7 +400,7 @@
     Job& j = model_.job(ji);
     PartIndex part = j.spec.part;
     std::vector<Bin>& bins = own[part.v];
-    std::size_t most = std::min<std::size_t>(
+    auto most = std::min<std::size_t>(
         {model_.placeable(ji), static_cast<std::size_t>(how_many_fit(j.spec.need, left[part.v])), 2000});
     if (j.spec.shape == Shape::gang && most < j.pending()) continue;
     auto tasks = model_.pending_tasks(j, most);
@@ -629,7 +629,7 @@
     if (per == 0) continue;
     for (ZoneIndex z : type.zones) {
       if (scheduler_.dark(z, clock.now)) continue;  // what boots there cannot report
-      std::size_t have = static_cast<std::size_t>(
+      auto have = static_cast<std::size_t>(
           std::count_if(bins.begin(), bins.end(), [z](const Bin& b) { return b.zone == z; }));
       for (bool spot : {true, false}) {
         Kind kind{TypeIndex{t}, z, spot};
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -264,30 +264,30 @@
 }
 
 void Model::apply(const Change& change, Stamp stamp, Seconds now) {
-  if (auto* k = std::get_if<JobKey>(&change.key)) {
+  if (const auto* k = std::get_if<JobKey>(&change.key)) {
     apply_job(k->job, std::get_if<JobRecord>(&change.value), stamp, now);
-  } else if (auto* c = std::get_if<ChunkKey>(&change.key)) {
+  } else if (const auto* c = std::get_if<ChunkKey>(&change.key)) {
     apply_chunk(*c, std::get_if<ChunkRecord>(&change.value), stamp, now);
-  } else if (auto* m = std::get_if<MachineKey>(&change.key)) {
+  } else if (const auto* m = std::get_if<MachineKey>(&change.key)) {
     apply_machine(m->machine, std::get_if<MachineRecord>(&change.value), stamp, now);
-  } else if (auto* p = std::get_if<ClaimKey>(&change.key)) {
+  } else if (const auto* p = std::get_if<ClaimKey>(&change.key)) {
     Claim& claim = claims_[p->part.v];
-    if (auto* rec = std::get_if<ClaimRecord>(&change.value)) {
+    if (const auto* rec = std::get_if<ClaimRecord>(&change.value)) {
       claim = {*rec, stamp, now};
     } else {
       claim = {};
     }
     SPDLOG_INFO("part {} is held by {} since revision {}", names.parts.name(p->part),
                 claim.stamp ? claim.rec.node : "nobody", stamp);
-  } else if (auto* n = std::get_if<NodeKey>(&change.key)) {
-    if (auto* rec = std::get_if<ClaimRecord>(&change.value)) {
+  } else if (const auto* n = std::get_if<NodeKey>(&change.key)) {
+    if (const auto* rec = std::get_if<ClaimRecord>(&change.value)) {
       auto [it, fresh] = nodes_.try_emplace(n->node, LiveNode{*rec, now});
       if (!fresh && it->second.rec.hold != rec->hold) it->second = {*rec, now};
     } else {
       nodes_.erase(n->node);
     }
-  } else if (auto* a = std::get_if<AgreedKey>(&change.key)) {
-    if (auto* rec = std::get_if<AgreedRecord>(&change.value)) {
+  } else if (const auto* a = std::get_if<AgreedKey>(&change.key)) {
+    if (const auto* rec = std::get_if<AgreedRecord>(&change.value)) {
       agreed[a->name] = {*rec, stamp};
     } else {
       agreed.erase(a->name);
@@ -313,18 +313,18 @@
 }
 
 void Model::apply_money(const Change& change, Stamp stamp) {
-  if (auto* b = std::get_if<BidKey>(&change.key)) {
-    if (auto* rec = std::get_if<BidRecord>(&change.value)) {
+  if (const auto* b = std::get_if<BidKey>(&change.key)) {
+    if (const auto* rec = std::get_if<BidRecord>(&change.value)) {
       money.bids[b->name] = {*rec, stamp};
     } else {
       money.bids.erase(b->name);
     }
   } else if (std::holds_alternative<LedgerKey>(change.key)) {
-    auto* rec = std::get_if<LedgerRecord>(&change.value);
+    const auto* rec = std::get_if<LedgerRecord>(&change.value);
     money.ledger =
         rec != nullptr ? MoneyTables::Entry<LedgerRecord>{*rec, stamp} : MoneyTables::Entry<LedgerRecord>{};
-  } else if (auto* m = std::get_if<MarketKey>(&change.key)) {
-    if (auto* rec = std::get_if<MarketRecord>(&change.value)) {
+  } else if (const auto* m = std::get_if<MarketKey>(&change.key)) {
+    if (const auto* rec = std::get_if<MarketRecord>(&change.value)) {
       money.markets[m->market] = {*rec, stamp};
     } else {
       money.markets.erase(m->market);
--- a/src/lab/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/lab/cluster.h"
 
+#include <utility>
+
 namespace oxbowmill::lab {
 
 Settings test_settings(const std::string& node) {
@@ -44,9 +46,9 @@
   return s;
 }
 
-Controller::Controller(const std::string& n, State& state, Settings settings, Names names,
+Controller::Controller(std::string n, State& state, Settings settings, Names names,
                        std::vector<MachineType> catalog)
-    : name(n),
+    : name(std::move(n)),
       model(std::move(settings), std::move(names)),
       hold(model.settings),
       scheduler(model, hold),
--- a/src/lab/fleet_controllers.cpp
+++ b/src/lab/fleet_controllers.cpp
@@ -119,7 +119,7 @@
   }
 }
 
-void FleetWorld::Impl::tell(const Controller& from, Controller& to) {
+void FleetWorld::Impl::tell(const Controller& from, Controller& to) const {
   for (const auto& w : from.start->part_words()) to.start->heard_of(w, now);
   for (MachineIndex m : from.start->suspects(200))
     to.start->heard_of_suspect(to.model.find_recorded(from.model.names.machines.name(m)), now);
@@ -217,7 +217,7 @@
         if (lost) r = std::nullopt;
       }
       for (const Change& ch : w.txn.changes) {
-        auto* fin = std::get_if<FinalKey>(&ch.key);
+        const auto* fin = std::get_if<FinalKey>(&ch.key);
         if (fin != nullptr && r && r->status == 200)
           n.finals.emplace(c.model.job(fin->job).spec.ref, std::get<JobPhase>(ch.value));
       }
--- a/src/lab/fleet_users.cpp
+++ b/src/lab/fleet_users.cpp
@@ -75,7 +75,7 @@
   return told;
 }
 
-void FleetWorld::Impl::heard(User& u, Told what) {
+void FleetWorld::Impl::heard(User& u, Told what) const {
   bool final = what == Told::done || what == Told::cancelled;
   bool news = (!u.accepted && (final || what == Told::open)) || (final && !u.final);
   u.accepted = u.accepted || final || what == Told::open;
@@ -114,8 +114,7 @@
 }
 
 void FleetWorld::Impl::tick_users() {
-  for (std::size_t i = 0; i < users.size(); ++i) {
-    User& u = users[i];
+  for (auto& u : users) {
     if (now < u.looks_until) look_closely(u);
     if (u.over || now < u.next) continue;
     std::size_t k = std::uniform_int_distribution<std::size_t>(0, nodes.size() - 1)(luck);
@@ -151,7 +150,7 @@
 }
 
 Told FleetWorld::Impl::follow(Node& n, const std::string& ref, service::Enquiry& e, service::EnquiryStep step,
-                              Json* value, std::uint64_t* stamp) {
+                              Json* value, std::uint64_t* stamp) const {
   using Step = service::EnquiryStep;
   if (step == Step::wait_for_tables) {
     // Its tables are current where a watch that was opened after the question came has been answered.
--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -1,12 +1,14 @@
 // The fleet's world step by step, and what came of it.
 #include <spdlog/spdlog.h>
 
+#include <utility>
+
 #include "fleet_world_impl.h"
 
 namespace oxbowmill::lab {
 
-FleetWorld::Impl::Impl(const FleetScenario& scenario, Way way_, std::uint64_t seed)
-    : s(scenario),
+FleetWorld::Impl::Impl(FleetScenario scenario, Way way_, std::uint64_t seed)
+    : s(std::move(scenario)),
       way(way_),
       random(seed),
       luck(seed * 7919 + 1),
@@ -21,8 +23,7 @@
   };
   state.txn_ops = s.txn_ops;
   state.value_bytes = 8192;
-  for (std::uint32_t z = 0; z < s.zones; ++z)
-    zone_names.push_back(std::string(1, static_cast<char>('a' + z)));
+  for (std::uint32_t z = 0; z < s.zones; ++z) zone_names.emplace_back(1, static_cast<char>('a' + z));
   nodes.resize(s.controllers);
   for (std::uint32_t i = 0; i < s.up; ++i) add_host(0, false, true);
   for (std::uint32_t i = 0; i < s.gangs; ++i) submit(0);
--- a/src/lab/fleet_world_impl.h
+++ b/src/lab/fleet_world_impl.h
@@ -71,7 +71,7 @@
     void note_begun(TaskNo t, double at) { begun.try_emplace(t, at); }
   };
 
-  Impl(const FleetScenario& scenario, Way way_, std::uint64_t seed);
+  Impl(FleetScenario scenario, Way way_, std::uint64_t seed);
   double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); }
   std::uint32_t pick(std::uint32_t n);
   std::string node_name(std::size_t i) const { return "node-" + std::to_string(i); }
@@ -88,7 +88,7 @@
   bool acts(const Node& n) const { return n.core && now >= n.frozen_until; }
 
   void tend(std::size_t i);
-  void tell(const Controller& from, Controller& to);
+  void tell(const Controller& from, Controller& to) const;
   void put(Controller& c, const Key& key);
   bool reaches_state(const Node& n) const;
   double delay_s() const { return now < delay_until ? state_delay : 0; }
@@ -144,7 +144,7 @@
   /// What the user asks of node `k`, and hears.
   enum class Asks { submission, status, withdrawal };
   Told ask(std::size_t k, User& u, Asks what);
-  void heard(User& u, Told what);
+  void heard(User& u, Told what) const;
   void look_closely(User& u);
   void send_odd_request();
   User* user_of(const std::string& ref);
@@ -152,7 +152,7 @@
   service::KeyRead read(const Node& n, const std::string& key, Json* value = nullptr,
                         std::uint64_t* stamp = nullptr) const;
   Told follow(Node& n, const std::string& ref, service::Enquiry& e, service::EnquiryStep step,
-              Json* value = nullptr, std::uint64_t* stamp = nullptr);
+              Json* value = nullptr, std::uint64_t* stamp = nullptr) const;
   static Told tell_user(Node& n, const std::string& ref, JobPhase phase);
   Told poll(Node& n, const std::string& ref);
   std::optional<State::Result> user_txn(const Node& n, const Json& body);
--- a/src/lab/market_world.cpp
+++ b/src/lab/market_world.cpp
@@ -222,7 +222,7 @@
   revision = ++revision_;
   for (const Change& c : t.changes) {
     std::string key = key_of(c.key);
-    if (auto* b = std::get_if<BidKey>(&c.key);
+    if (const auto* b = std::get_if<BidKey>(&c.key);
         b != nullptr && !c.removal() && !bid_names.insert(b->name).second)
       ++reused_names;
     if (c.removal()) {
@@ -399,10 +399,10 @@
 void MarketWorld::check() {
   Money hour = 0, window = 0;
   for (const auto& [key, e] : store_) {
-    if (auto* b = std::get_if<BidRecord>(&e.change.value)) {
+    if (const auto* b = std::get_if<BidRecord>(&e.change.value)) {
       hour += b->limit * static_cast<Money>(b->count());
       window += market::worst_case(*b);
-    } else if (auto* l = std::get_if<LedgerRecord>(&e.change.value)) {
+    } else if (const auto* l = std::get_if<LedgerRecord>(&e.change.value)) {
       for (const auto& [part, paid] : l->spent) window += paid;
     }
   }
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -179,7 +179,7 @@
 }
 
 void Rules::close() {
-  if (!ran_) broken_.push_back("nothing_ran");
+  if (!ran_) broken_.emplace_back("nothing_ran");
 }
 
 }  // namespace oxbowmill::lab
--- a/src/market/ledger.cpp
+++ b/src/market/ledger.cpp
@@ -76,7 +76,7 @@
     if (c.per_window > 0 && u.in_window + worst > c.per_window) return "per window";
     return nullptr;
   };
-  Money machines = static_cast<Money>(rec.count());
+  auto machines = static_cast<Money>(rec.count());
   if (const char* what = over(settings_.all, use(), rec.limit * machines, worst_case(rec)))
     return std::string("the ceiling ") + what + " is reached";
   for (const auto& [part, n] : rec.machines) {
--- a/src/models/keeper.cpp
+++ b/src/models/keeper.cpp
@@ -294,7 +294,7 @@
     // A change under way may take the cooling back: no stop goes out beside it.
     if (a == nullptr || desk_.open(decision_kind(), k.terms.name)) continue;
     const Job& j = model_.job(k.standing);
-    std::uint32_t keep = static_cast<std::uint32_t>(j.placed.size());
+    auto keep = static_cast<std::uint32_t>(j.placed.size());
     if (a->rec.state == cooling && k.stopping) keep = 0;
     auto n = a->rec.counts.find(replicas_count);
     if (a->rec.state == serving && n != a->rec.counts.end())
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,6 +8,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <stdexcept>
 
 namespace oxbowmill::net {
@@ -105,7 +106,7 @@
   evhttp* http = http_.get();
   // A body somewhat over the limit is read, so that it gets its 400 instead of a broken connection.
   evhttp_set_max_body_size(http, static_cast<ev_ssize_t>(4 * most_body));
-  evhttp_set_max_headers_size(http, 16 * 1024);
+  evhttp_set_max_headers_size(http, ssize_t{16} * 1024);
   evhttp_set_timeout(http, 60);
   evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
--- a/src/recovery/start.cpp
+++ b/src/recovery/start.cpp
@@ -218,9 +218,10 @@
     WordState s = word(m);
     const Machine& machine = model_.machine(m);
     bool at_start = machine.taken_over && !may_be_silent(machine);
-    open += at_start && (s == WordState::awaited || s == WordState::heard || s == WordState::differing ||
-                         s == WordState::suspected || s == WordState::condemned);
-    waited_for += at_start && s == WordState::awaited;
+    open += static_cast<unsigned int>(at_start && (s == WordState::awaited || s == WordState::heard ||
+                                                   s == WordState::differing || s == WordState::suspected ||
+                                                   s == WordState::condemned));
+    waited_for += static_cast<unsigned int>(at_start && s == WordState::awaited);
   }
   if (part.state == PartState::listening) {
     // By what was heard, not by a clock; the clock only ends the wait for machines that nobody hears.
--- a/src/service/agreements.cpp
+++ b/src/service/agreements.cpp
@@ -9,7 +9,7 @@
 }
 
 Agreements::Agreements(Model& model, Scheduler& scheduler, state::Store& store, const config::Config& config,
-                       std::function<double()> now)
+                       const std::function<double()>& now)
     : model_(model),
       desk_(model, scheduler, decisions_share),
       planner_(model, desk_, scheduler, config.skew_s),
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -274,7 +274,7 @@
   double t = now();
   if (hold_.id() == 0 || hold_.authority(t) != Authority::full || !model_.catalog_known()) return;
   auto put = [this](const Key& key, Stamp guard, Urgency urgency,
-                    std::function<void(const StoreAnswer&)> fn) {
+                    const std::function<void(const StoreAnswer&)>& fn) {
     Change c{key, ClaimRecord{model_.settings.node, hold_.id()}, hold_.id()};
     std::string k = state::encode_key(key, model_);
     Json txn = {{"guards", Json::array()},
@@ -344,7 +344,7 @@
     if (a.status == 200) {
       outcome = Outcome::applied;
       for (const auto& [key, c] : sent->changes) {
-        if (auto* phase = std::get_if<JobPhase>(&c.value)) intake_.note_final(key.substr(2), *phase);
+        if (const auto* phase = std::get_if<JobPhase>(&c.value)) intake_.note_final(key.substr(2), *phase);
       }
       mirror_.applied(sent->changes, revision);
       known_revision_ = std::max(known_revision_, revision);
@@ -413,7 +413,7 @@
               [this, machines](const net::Response& a) { fleet_.on_deleted(machines, a.status == 200); });
 }
 
-void Node::list_page(const std::string& from, std::shared_ptr<std::vector<ListedMachine>> so_far) {
+void Node::list_page(const std::string& from, const std::shared_ptr<std::vector<ListedMachine>>& so_far) {
   std::string path = "/rentals?most=500";
   if (!from.empty()) path += "&from=" + from;
   cloud_.send(EVHTTP_REQ_GET, path, "", 5, [this, so_far](const net::Response& a) {
--- a/src/state/keys.cpp
+++ b/src/state/keys.cpp
@@ -154,13 +154,13 @@
     std::string operator()(const ChunkKey& k) {
       return "o/c/" + m.job(k.job).spec.ref + "/" + std::to_string(k.chunk);
     }
-    std::string operator()(const MachineKey& k) { return "o/m/" + m.names.machines.name(k.machine); }
-    std::string operator()(const ClaimKey& k) { return "o/p/" + m.names.parts.name(k.part); }
+    std::string operator()(const MachineKey& k) const { return "o/m/" + m.names.machines.name(k.machine); }
+    std::string operator()(const ClaimKey& k) const { return "o/p/" + m.names.parts.name(k.part); }
     std::string operator()(const NodeKey& k) { return "o/n/" + k.node; }
     std::string operator()(const FinalKey& k) { return final_key(m.job(k.job).spec.ref); }
     std::string operator()(const BidKey& k) { return "o/b/" + k.name; }
     std::string operator()(const LedgerKey&) { return "o/l/ledger"; }
-    std::string operator()(const MarketKey& k) { return "o/q/" + m.names.markets.name(k.market); }
+    std::string operator()(const MarketKey& k) const { return "o/q/" + m.names.markets.name(k.market); }
     std::string operator()(const AgreedKey& k) { return "o/d/" + k.name; }
   };
   return std::visit(Visitor{model}, key);
@@ -183,8 +183,8 @@
   struct Visitor {
     Model& m;
     Json operator()(std::monostate) { return {}; }
-    Json operator()(const JobRecord& r) { return job_value(r.spec, r.phase, m.names); }
-    Json operator()(const ChunkRecord& r) {
+    Json operator()(const JobRecord& r) const { return job_value(r.spec, r.phase, m.names); }
+    Json operator()(const ChunkRecord& r) const {
       Json placed = Json::array();
       for (const PlacedTask& t : r.placed) {
         Json one = Json::array({t.task, m.names.machines.name(t.machine), t.attempt, t.restarting ? 1 : 0});
@@ -206,7 +206,7 @@
       }
       return j;
     }
-    Json operator()(const MachineRecord& r) {
+    Json operator()(const MachineRecord& r) const {
       Json j = {{"part", m.names.parts.name(r.part)},
                 {"type", m.names.types.name(r.type)},
                 {"zone", m.names.zones.name(r.zone)},
@@ -222,7 +222,7 @@
     }
     Json operator()(const ClaimRecord& r) { return {{"node", r.node}, {"hold", r.hold}}; }
     Json operator()(JobPhase p) { return {{"p", name_of(p)}}; }
-    Json operator()(const BidRecord& r) {
+    Json operator()(const BidRecord& r) const {
       Json machines = Json::object();
       for (const auto& [part, n] : r.machines) machines[m.names.parts.name(part)] = n;
       return {{"market", m.names.markets.name(r.market)},
@@ -235,7 +235,7 @@
               {"in", r.deliver_s},
               {"n", machines}};
     }
-    Json operator()(const LedgerRecord& r) {
+    Json operator()(const LedgerRecord& r) const {
       Json spent = Json::object();
       for (const auto& [part, amount] : r.spent) spent[m.names.parts.name(part)] = amount;
       return {{"w", r.window}, {"spent", spent}};
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -137,7 +137,7 @@
 }
 
 void Store::txn(const Json& body, Urgency urgency, AnswerFn fn) {
-  double changes = static_cast<double>(body.at("apply").size());
+  auto changes = static_cast<double>(body.at("apply").size());
   submit(urgency, {EVHTTP_REQ_POST, "/txn", wire::encode(body), changes, call_timeout_s, std::move(fn)});
 }
 
--- a/src/wire/market_codec.cpp
+++ b/src/wire/market_codec.cpp
@@ -87,7 +87,7 @@
   auto charged = amount(body, "charged", most_amount);
   if (!of || *of != bid || !phase || !charged) return false;
   market::BidNews n;
-  auto known =
+  const auto* known =
       std::find_if(std::begin(phases), std::end(phases), [&](const auto& p) { return *phase == p.first; });
   if (known == std::end(phases)) return false;
   n.phase = known->second;
--- a/tests/accord_test.cpp
+++ b/tests/accord_test.cpp
@@ -125,7 +125,7 @@
     AgreedRecord r;
     r.state = "off";
     Asked a = desk.change(lamp, "l" + std::to_string(i), r, pool_part, {c.now, c.now}, out);
-    sent += a == Asked::sent;
+    sent += static_cast<int>(a == Asked::sent);
     if (i > 50) {
       EXPECT_EQ(a, Asked::later);
     }
@@ -152,7 +152,7 @@
   std::vector<lab::Json> late;
   const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
   for (int s : steps) {
-    std::size_t n = static_cast<std::size_t>(s % 2);
+    auto n = static_cast<std::size_t>(s % 2);
     lab::Controller& node = c.node(n);
     c.now += 0.4;
     c.state.expire(c.now);
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -86,7 +86,7 @@
 class FakeNode {
  public:
   using Answer = std::function<void(Request&&)>;
-  explicit FakeNode(Answer fn)
+  explicit FakeNode(const Answer& fn)
       : base_(net::make_base()),
         server_(base_.get(), {"127.0.0.1", 0}, 65536,
                 [this, fn](Request&& r) {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -99,14 +99,14 @@
     const auto& events = state_.events();
     if (!watch_ || (watched_from_ >= state_.revision() && now() - watch_since_ < watch_hold_s_)) return;
     Json news = Json::array();
-    for (std::size_t i = 0; i < events.size(); ++i) {
-      if (events[i].revision <= watched_from_ || events[i].key.rfind("o/", 0) != 0) continue;
-      Json n = {{"stamp", events[i].revision}};
-      if (events[i].value) {
-        n["put"] = events[i].key;
-        n["value"] = *events[i].value;
+    for (const auto& event : events) {
+      if (event.revision <= watched_from_ || event.key.rfind("o/", 0) != 0) continue;
+      Json n = {{"stamp", event.revision}};
+      if (event.value) {
+        n["put"] = event.key;
+        n["value"] = *event.value;
       } else {
-        n["delete"] = events[i].key;
+        n["delete"] = event.key;
       }
       news.push_back(n);
     }
@@ -186,7 +186,7 @@
     raw_request(method, path, body.is_null() ? "" : wire::encode(body), std::move(fn));
   }
   void raw_request(evhttp_cmd_type method, const std::string& path, const std::string& body,
-                   std::function<void(int, const Json&)> fn) {
+                   const std::function<void(int, const Json&)>& fn) {
     net::send_once(base_.get(), node_, method, path, body, 5, [fn](const Response& r) {
       Json j = Json::from_cbor(r.body, true, false);
       fn(r.status, j.is_object() ? j : Json::object());
@@ -231,7 +231,7 @@
     ASSERT_NE(node_.port, 0);
     reader_ = std::thread([fd = log[0]] {
       char buf[4096];
-      for (ssize_t n; (n = read(fd, buf, sizeof buf)) > 0;) {
+      for (ssize_t n = 0; (n = read(fd, buf, sizeof buf)) > 0;) {
         if (write(STDERR_FILENO, buf, static_cast<std::size_t>(n)) < 0) break;
       }
       close(fd);
@@ -265,7 +265,7 @@
   }
 
   /// Runs the loop until `done`, with a bound that only a hang reaches.
-  void until(std::function<bool()> done, std::function<void()> step) {
+  void until(const std::function<bool()>& done, const std::function<void()>& step) {
     step_ = [this, done, step] {
       if (done()) {
         event_base_loopbreak(base_.get());
--- a/tests/market_test.cpp
+++ b/tests/market_test.cpp
@@ -376,7 +376,7 @@
   d.machines = 10;
   d.run_s = 300;
   d.slack_s = 60;
-  auto bought = [&](std::vector<Offer> offers, const Demand& demand) {
+  auto bought = [&](const std::vector<Offer>& offers, const Demand& demand) {
     Ledger l(s);
     std::vector<std::uint32_t> n(offers.size());
     for (const Award& a : make_plan({demand}, offers, l, 10, s).awards) {
--- a/tests/models_test.cpp
+++ b/tests/models_test.cpp
@@ -41,7 +41,7 @@
 }
 
 struct Served {
-  explicit Served(models::Settings settings = chat()) : c(3) {
+  explicit Served(const models::Settings& settings = chat()) : c(3) {
     for (std::size_t i = 0; i < 3; ++i) {
       c.node(i).model.settings.teams[1].most = {};
       c.node(i).model.settings.op.give_back_s = 2;
@@ -80,7 +80,7 @@
     std::uint32_t n = 0;
     for (const std::string& m : machines()) {
       for (const auto& [id, t] : c.worker(m).tasks())
-        n += t.job == "run-model" && t.phase != TaskPhase::ended;
+        n += static_cast<unsigned int>(t.job == "run-model" && t.phase != TaskPhase::ended);
     }
     return n;
   }
@@ -92,7 +92,7 @@
     }
     return false;
   }
-  const lab::Json* record() {
+  const lab::Json* record() const {
     auto it = c.state.keys().find("o/d/model/chat");
     return it == c.state.keys().end() ? nullptr : &it->second.value;
   }
--- a/tests/progress_test.cpp
+++ b/tests/progress_test.cpp
@@ -93,7 +93,7 @@
     c.run(2);
   }
   Job& job(std::size_t n = 0) { return c.node(n).model.job(c.node(n).model.find_job("run-1")); }
-  std::string at(TaskNo t) { return c.placed("run-1", t).at(0); }
+  std::string at(TaskNo t) const { return c.placed("run-1", t).at(0); }
   void change_owner(std::size_t to) {
     for (std::size_t i = 0; i < 3; ++i) {
       if (i != to) c.kill_node(i);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -48,7 +48,9 @@
   recovery::Start& start() { return *c.node(1).start; }
   MachineIndex machine(const std::string& m) { return c.node(1).model.names.machines.find(m); }
   WordState word(int i) { return start().word(machine(name(i))); }
-  bool marked(const std::string& m) { return c.state.keys().at("o/m/" + m).value.at("del").get<bool>(); }
+  bool marked(const std::string& m) const {
+    return c.state.keys().at("o/m/" + m).value.at("del").get<bool>();
+  }
   Cluster c;
 };
 
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -63,7 +63,7 @@
     }
     return false;
   }
-  std::string state(const std::string& name = "manual") {
+  std::string state(const std::string& name = "manual") const {
     auto it = c.state.keys().find("o/d/release/" + name);
     return it == c.state.keys().end() ? "" : it->second.value.at("s").get<std::string>();
   }
@@ -441,7 +441,7 @@
       p.finish("run-fr");
     }
     EXPECT_EQ(p.started("run-pub-ar") && p.started("run-pub-fr"), !cancelled) << p.state();
-    published += p.started("run-pub-ar");
+    published += static_cast<int>(p.started("run-pub-ar"));
   }
   EXPECT_GT(published, histories / 2);
 }
