--- /dev/null
+++ b/include/oxbowmill/core/capacity_tracker.h
@@ -0,0 +1,54 @@
+// Keeps the free capacity of every partition up to date from what changes in the model and from what time
+// alone brings about. Pure. Seconds on the steady clock.
+#pragma once
+
+#include <queue>
+
+#include "oxbowmill/core/free_capacity.h"
+
+namespace oxbowmill {
+
+class CapacityTracker {
+ public:
+  explicit CapacityTracker(Model& model);
+
+  /// Takes in what has changed since the last time, and gives back what was taken provisionally.
+  void refresh(Seconds now);
+  FreeCapacity& of(PartIndex partition) { return partitions_[partition.v]; }
+  const FreeCapacity& of(PartIndex partition) const { return partitions_[partition.v]; }
+  /// Rises whenever a machine of the partition offers something else than before.
+  std::uint64_t version(PartIndex partition) const { return versions_[partition.v]; }
+  /// Seconds that the fetches under way on the machine still take, one after the other.
+  Seconds fetch_backlog_s(MachineIndex machine, Seconds now) const;
+  /// Throws std::logic_error where the index differs from a look at every machine. For tests: costs a full
+  /// scan.
+  void require_consistent(Seconds now) const;
+
+ private:
+  /// Nothing but time can change it before `until`.
+  struct Sight {
+    std::optional<MachineCapacity> capacity;
+    Seconds until = std::numeric_limits<double>::infinity();
+  };
+  Sight look_at(MachineIndex machine, Seconds now) const;
+  Sight look_at_booting(MachineIndex machine, Seconds now) const;
+  void add_tasks(const Machine& machine, MachineCapacity& capacity) const;
+  void update(MachineIndex machine, Seconds now);
+  /// Rooms of types decide in which group a machine stands.
+  void note_catalog();
+
+  Model& model_;
+  std::vector<FreeCapacity> partitions_;
+  std::vector<std::uint64_t> versions_;
+  std::vector<PartIndex> holder_;  // by machine: whose index has it
+  struct Recheck {
+    Seconds at = 0;
+    MachineIndex machine;
+    friend bool operator>(const Recheck& a, const Recheck& b) { return a.at > b.at; }
+  };
+  std::priority_queue<Recheck, std::vector<Recheck>, std::greater<>> rechecks_;
+  std::vector<Seconds> recheck_at_;  // by machine: the earliest one that is queued
+  std::vector<Amounts> type_rooms_;
+};
+
+}  // namespace oxbowmill
--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -46,16 +46,16 @@
   void write_moves(Effects& out);
   void serve_demand(Clock clock, Effects& out);
   std::vector<Waiting> demand_order(Clock clock, std::set<JobIndex>& guaranteed) const;
-  std::vector<Bin> part_bins(PartIndex part, Seconds now) const;
+  std::vector<CandidateNode> part_bins(PartIndex part, Seconds now) const;
   /// Machines of other parts that may be drained for this job.
-  std::vector<Bin> victims(const Job& j, bool guaranteed, Clock clock) const;
+  std::vector<CandidateNode> victims(const Job& j, bool guaranteed, Clock clock) const;
   void move_machine(MachineIndex m, PartIndex to, bool ask_owner);
-  void rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins);
+  void rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<CandidateNode>& bins);
   void note_need(JobIndex ji, std::uint32_t tasks, bool guaranteed, Clock clock);
-  void serve_needs(std::vector<std::vector<Bin>>& own, Clock clock, Effects& out);
-  void note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now);
+  void serve_needs(std::vector<std::vector<CandidateNode>>& own, Clock clock, Effects& out);
+  void note_turnover(const Job& j, const CandidateNode& b, std::uint32_t count, Seconds now);
   /// Rents whole machines ahead of the gangs that will want them.
-  void stand_by(const std::vector<Bin>& idle, Clock clock);
+  void stand_by(const std::vector<CandidateNode>& idle, Clock clock);
   /// Has machines ready for the work of those that may be gone, beyond what stands idle.
   void replace_suspects(std::size_t idle, Clock clock);
   bool may_rent(PartIndex part, JobIndex job, bool guaranteed, Seconds now) const {
--- /dev/null
+++ b/include/oxbowmill/core/free_capacity.h
@@ -0,0 +1,129 @@
+// Free capacity of one partition's machines, kept in the order in which placement prefers them. It is fed
+// machine by machine as their state changes, so that a scheduling cycle visits the machines that it chooses
+// and no others. Pure: whoever owns it says when a machine changed. Amounts and seconds as in types.h.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "oxbowmill/core/placement.h"
+
+namespace oxbowmill {
+
+/// What one machine offers to new tasks.
+struct MachineCapacity {
+  CandidateNode node;                   // `start_s` and `spoils_s` depend on the job and are not filled in
+  Amounts leaving;                      // beside `node.room`: held by tasks that were told to stop
+  bool booting = false;                 // rented, not up yet: forecast capacity only
+  Seconds up_at = 0;                    // of a booting machine: when it is expected
+  bool fetching = false;                // images are being fetched there
+  bool preemptible = false;             // some task there may be stopped for work of higher rank
+  Rank lowest_rank = Rank::production;  // of such tasks
+  std::vector<ImageIndex> images;
+};
+bool operator==(const MachineCapacity& a, const MachineCapacity& b);
+
+/// How a job looks at the machines.
+struct SelectionQuery {
+  const JobSpec* spec = nullptr;
+  bool pressed = false;           // it has to begin soon: fetches under way at a machine count as well
+  bool spare_whole = false;       // whole ordinary machines are left to gangs
+  std::vector<bool> unreachable;  // by zone; empty: none
+  /// Seconds that fetches under way on the machine still take.
+  std::function<Seconds(MachineIndex)> fetch_backlog_s;
+};
+
+struct Selection {
+  std::vector<CandidateNode>
+      nodes;                    // those that were chosen, with their room less the tasks that they are to get
+  std::vector<Choice> choices;  // `node` is a position in `nodes`
+  /// When the last of the chosen tasks could run.
+  Seconds last_start_s() const;
+};
+
+class FreeCapacity {
+ public:
+  explicit FreeCapacity(const Model& model) : model_(&model) {}
+
+  /// Sets what the machine offers; none: nothing. True: it offers something else than before.
+  bool update(MachineIndex machine, std::optional<MachineCapacity> capacity);
+  const MachineCapacity* find(MachineIndex machine) const;
+  std::size_t size() const { return machines_.size(); }
+  void clear();
+
+  /// Chooses machines for these tasks of the job, at most as many as fit; a gang gets all or none. `forecast`
+  /// are nodes beside the free ones, with their `start_s` and `spoils_s`; `by_zone` holds where the job's
+  /// other tasks are.
+  Selection select(const SelectionQuery& query, const std::vector<TaskNo>& tasks,
+                   const std::vector<std::uint32_t>& by_zone,
+                   const std::vector<CandidateNode>& forecast = {}) const;
+  /// How many tasks of the job fit into machines of types on which it is packed with others, counted up to
+  /// `most`.
+  std::size_t count_cheap_places(const SelectionQuery& query, std::size_t most) const;
+
+  /// Takes room for a task that is about to be placed. Until the machine is updated the next time it is gone.
+  void take(MachineIndex machine, const Amounts& need);
+  void take_leaving(MachineIndex machine, const Amounts& need);
+  void add_fetch(MachineIndex machine, Seconds seconds);
+  void host_service(MachineIndex machine);
+  /// Machines that one of these four has changed, to be updated before the next cycle; forgets them.
+  std::vector<MachineIndex> take_provisional();
+
+  const std::set<MachineIndex>& with_leaving() const { return with_leaving_; }
+  const std::set<MachineIndex>& booting() const { return booting_; }
+  const std::set<MachineIndex>& preemptible() const { return preemptible_; }
+  /// Entries that were looked at since it was made: what a cycle costs.
+  std::uint64_t visits() const { return visits_; }
+
+ private:
+  /// Machines between which a job sees no difference but their room and whether they have its image.
+  struct GroupKey {
+    TypeIndex type;
+    ZoneIndex zone;
+    bool spot = false, lasting = false, whole = false, fetching = false;
+    friend bool operator<(const GroupKey& a, const GroupKey& b) {
+      return std::tie(a.type, a.zone, a.spot, a.lasting, a.whole, a.fetching) <
+             std::tie(b.type, b.zone, b.spot, b.lasting, b.whole, b.fetching);
+    }
+  };
+  struct RoomKey {
+    double gpus = 0, cpus = 0;
+    MachineIndex machine;
+    friend bool operator<(const RoomKey& a, const RoomKey& b) {
+      return std::tie(a.gpus, a.cpus, a.machine) < std::tie(b.gpus, b.cpus, b.machine);
+    }
+  };
+  using RoomOrder = std::set<RoomKey>;
+  struct Group {
+    RoomOrder all;
+    std::unordered_map<std::uint32_t, RoomOrder> by_image;
+  };
+  struct Entry {
+    MachineCapacity capacity;
+    Seconds added_fetch_s = 0;  // provisional
+  };
+  class Stream;
+  class Merge;
+
+  GroupKey group_of(const Entry& entry) const;
+  static RoomKey room_of(const Entry& entry, MachineIndex machine);
+  void insert(MachineIndex machine, const Entry& entry);
+  void erase(MachineIndex machine, const Entry& entry);
+  template <class Change>
+  void change(MachineIndex machine, Change change);
+  bool is_offered(const SelectionQuery& query, const GroupKey& key) const;
+  Selection fill(const SelectionQuery& query, const std::vector<TaskNo>& tasks,
+                 const std::vector<std::uint32_t>& by_zone, ZoneIndex only,
+                 const std::vector<CandidateNode>& forecast) const;
+
+  const Model* model_;
+  std::unordered_map<std::uint32_t, Entry> machines_;
+  std::map<GroupKey, Group> groups_;
+  std::set<MachineIndex> with_leaving_, booting_, preemptible_, provisional_;
+  mutable std::uint64_t visits_ = 0;
+};
+
+}  // namespace oxbowmill
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -165,6 +165,8 @@
   Amounts reserved;
   std::uint32_t reservations = 0;
   std::vector<ImageIndex> images;  // most recently used last
+  std::uint32_t changes = 0;       // how often it was opened for a change
+  bool change_noted = false;
 };
 
 /// Bids, what has been paid and what markets did: written by the leader, known to all.
@@ -218,8 +220,14 @@
     auto it = jobs_.find(j.v);
     return it == jobs_.end() ? nullptr : &it->second;
   }
-  Machine& machine(MachineIndex m) { return machines_[m.v]; }
   const Machine& machine(MachineIndex m) const { return machines_[m.v]; }
+  /// For changing it: whoever keeps something worked out from the machine hears that it may have changed.
+  Machine& edit_machine(MachineIndex m) {
+    note_change(m);
+    return machines_[m.v];
+  }
+  /// Machines that were, or whose placements were, opened for a change since this was last asked, each once.
+  std::vector<MachineIndex> take_changed();
   MachineIndex intern_machine(const std::string& name);
   /// None where the state service holds no record of it.
   MachineIndex find_recorded(const std::string& name) const;
@@ -227,6 +235,8 @@
   std::uint32_t machine_count() const { return static_cast<std::uint32_t>(machines_.size()); }
   const std::set<JobIndex>& live_jobs(PartIndex part) const { return live_[part.v]; }
   const std::set<MachineIndex>& machines_of(PartIndex part) const { return part_machines_[part.v]; }
+  /// Machines of other partitions that are to be handed over to this one.
+  const std::set<MachineIndex>& machines_wanted_by(PartIndex part) const { return wanted_[part.v]; }
   const Claim& claim(PartIndex p) const { return claims_[p.v]; }
   std::uint32_t parts() const { return names.parts.size(); }
   const std::map<std::string, LiveNode>& nodes() const { return nodes_; }
@@ -235,8 +245,9 @@
   Seconds all_anew_since() const;
   Amounts room(const Machine& m) const;
   const Amounts& team_use(PartIndex p) const { return team_use_[p.v]; }
-  Placement* find_placement(TaskId id);
-  const Placement* find_placement(TaskId id) const { return const_cast<Model*>(this)->find_placement(id); }
+  const Placement* find_placement(TaskId id) const;
+  /// For changing it, as with `edit_machine`. Null where there is none.
+  Placement* edit_placement(TaskId id);
   /// Takes (or gives back, with -1) room and quota for a task whose placement is being written.
   void reserve(MachineIndex i, const JobSpec& spec, int sign);
   /// What durable decisions say of the job.
@@ -272,6 +283,16 @@
   std::set<MachineIndex> kick;           // machines with kills to be sent at once
 
  private:
+  void note_change(MachineIndex m) {
+    Machine& machine = machines_[m.v];
+    ++machine.changes;
+    if (machine.change_noted) return;
+    machine.change_noted = true;
+    changed_.push_back(m);
+  }
+  /// Keeps the sets of machines by partition as the record says.
+  void list_by_partition(MachineIndex m, const MachineRecord& rec);
+  void unlist(MachineIndex m, const MachineRecord& rec);
   void apply_job(JobIndex index, const JobRecord* rec, Stamp stamp, Seconds now);
   void apply_chunk(const ChunkKey& key, const ChunkRecord* rec, Stamp stamp, Seconds now);
   void apply_money(const Change& change, Stamp stamp);
@@ -288,11 +309,14 @@
   double share_of_machine(const JobSpec& spec) const;
 
   std::unordered_map<std::string, JobIndex> job_names_;
-  std::map<std::uint32_t, Job> jobs_;  // live jobs only: entries go once the job's record and chunks are gone
+  std::unordered_map<std::uint32_t, Job>
+      jobs_;  // live jobs only: entries go once the job's record and chunks are gone
   std::uint32_t next_job_ = 0;
   std::vector<Machine> machines_;
   std::vector<std::set<JobIndex>> live_;
   std::vector<std::set<MachineIndex>> part_machines_;
+  std::vector<std::set<MachineIndex>> wanted_;  // by the partition that is to get them
+  std::vector<MachineIndex> changed_;
   std::vector<Claim> claims_;
   std::vector<Amounts> team_use_;
   std::map<std::string, LiveNode> nodes_;
--- a/include/oxbowmill/core/placement.h
+++ b/include/oxbowmill/core/placement.h
@@ -7,11 +7,11 @@
 
 struct Choice {
   TaskNo task = 0;
-  std::size_t bin = 0;
+  std::size_t node = 0;
 };
 
 /// Room on a machine, real or expected, while a pass fills it.
-struct Bin {
+struct CandidateNode {
   MachineIndex machine;
   TypeIndex type;
   ZoneIndex zone;
@@ -29,15 +29,17 @@
 /// The job fills machines with others' tasks beside its own, and ends by itself; cheap machines will do.
 bool fills_cheaply(const JobSpec& spec, const MachineType& type);
 /// Nothing is on it, as far as its room tells.
-bool is_whole(const Bin& b, const MachineType& type);
+bool is_whole(const CandidateNode& b, const MachineType& type);
 
 /// How long a machine of this type takes to fetch the job's image.
 Seconds fetch_time(const JobSpec& spec, const MachineType& type);
+/// What a task of the job costs others on a node like this, in seconds that the job gives up for it.
+Seconds spoils(const JobSpec& spec, const MachineType& type, const CandidateNode& node);
 /// Fills in `start_s` and `spoils_s` for this job; `pressed`: one that has to begin soon looks at what else
 /// is being fetched there as well.
-void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins, bool pressed = false);
+void see_as(const JobSpec& spec, const Model& model, std::vector<CandidateNode>& bins, bool pressed = false);
 /// When the last of the chosen tasks could run.
-Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins);
+Seconds last_start(const std::vector<Choice>& choices, const std::vector<CandidateNode>& bins);
 
 /// Type, zone and kind, as the job allows them.
 bool allowed_on(const JobSpec& spec, TypeIndex type, ZoneIndex zone, bool spot);
@@ -50,7 +52,7 @@
 
 /// Chooses bins for these tasks of the job, at most as many as fit; a gang gets all or none. The rooms of the
 /// chosen bins shrink. `by_zone` holds what the job already has.
-std::vector<Choice> choose(const JobSpec& spec, const std::vector<TaskNo>& tasks, std::vector<Bin>& bins,
-                           std::vector<std::uint32_t> by_zone);
+std::vector<Choice> choose(const JobSpec& spec, const std::vector<TaskNo>& tasks,
+                           std::vector<CandidateNode>& bins, std::vector<std::uint32_t> by_zone);
 
 }  // namespace oxbowmill
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 
+#include "oxbowmill/core/capacity_tracker.h"
 #include "oxbowmill/core/claims.h"
 #include "oxbowmill/core/gangs.h"
 #include "oxbowmill/core/gate.h"
@@ -69,9 +70,26 @@
   std::uint64_t tenure = 0;
 };
 
+/// What found no room in this scheduling cycle. Room only shrinks within a cycle, so a job that asks for as
+/// much or more of the same need not look again.
+class FailedSelections {
+ public:
+  void add(const Job& j, std::size_t tasks, bool spare_whole, bool preempting);
+  bool covers(const Job& j, std::size_t tasks, bool spare_whole, bool preempting) const;
+
+ private:
+  struct Failure {
+    const JobSpec* spec = nullptr;
+    std::size_t tasks = 0;
+    bool spare_whole = false, preempting = false;
+  };
+  std::vector<Failure> failed_;
+};
+
 class Scheduler {
  public:
-  Scheduler(Model& model, Hold& hold) : model_(model), hold_(hold) {}
+  Scheduler(Model& model, Hold& hold)
+      : model_(model), hold_(hold), capacity_(model), last_cycles_(model.parts()) {}
 
   ReportAnswer on_report(const WorkerReport& r, Clock clock);
   void pass(Clock clock, Effects& out);
@@ -103,6 +121,10 @@
   Seconds proved_empty_at(const Machine& m) const;
   /// A machine without a record showed itself; the leader takes it in.
   std::function<void(const WorkerReport&)> on_unrecorded;
+  /// Has every cycle compare the index of free capacity with a full scan. For tests.
+  void check_capacity() { checks_capacity_ = true; }
+  /// Machines that placement has looked at since the start.
+  std::uint64_t visits() const;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
   /// Once it is durable, the workers to ring hear of their new owner without waiting for their next report.
   /// `settled` is called once its outcome is known and stands in the tables.
@@ -156,30 +178,61 @@
   bool may_start(const Job& j, const Placement& p) const;
   void stop(Placement& p, double wind_down_s, Seconds now);
   void check_gang(Job& j, Seconds now);
+  bool holds_tasks(const Machine& m) const;
   void watch_machines(PartIndex part, Clock clock, Effects& out);
-  /// A part's room while a pass fills it.
-  struct Rooms {
-    std::vector<Bin> bins;         // from `real` on: machines that will come
-    std::vector<Amounts> leaving;  // beside a bin's room: what tasks that are going still hold
-    std::size_t real = 0;
+  /// Capacity that is not free yet: a booting machine, or one that another partition hands over.
+  struct ForecastNode {
+    CandidateNode node;
+    Amounts coming;
+  };
+  /// What the last scheduling cycle of a partition saw, and when time alone asks for the next.
+  struct LastCycle {
+    std::uint64_t version = 0;
+    Seconds wake_at = 0;
+    void wake_by(Seconds at) { wake_at = std::min(wake_at, at); }
+  };
+  /// A scheduling cycle of one partition, while it fills the free capacity.
+  struct Cycle {
+    PartIndex part;
+    Clock clock;
+    bool thorough = false;
+    bool spare_whole = false;
+    FreeCapacity* capacity = nullptr;
+    std::vector<ForecastNode> forecast;
+    Amounts quota_left;
+    FailedSelections failed;
+    LastCycle* last = nullptr;
+    std::map<JobIndex, std::vector<PlacedTask>>* planned = nullptr;
   };
-  Rooms rooms_of(PartIndex part, Seconds now) const;
-  /// How long the fetches under way on the machine still take, one after the other.
-  Seconds fetching_s(const Machine& m, Seconds now) const;
-  /// The rooms as they are for this job, with what is being left and, if asked, what lower ranks would leave.
-  std::vector<Bin> foresee(const Job& j, const Rooms& rooms, bool preempting, Clock clock) const;
+  SelectionQuery query_for(const Job& j, Seconds now) const;
+  std::vector<ForecastNode> forecast_of(PartIndex part, Seconds now);
+  /// Nodes that would have room for this job: once tasks have left, once machines have come and, if asked,
+  /// once tasks of lower rank were stopped.
+  std::vector<CandidateNode> forecast_for(const Job& j, const Cycle& cycle, bool preempting);
+  /// Adds to the node's room what may be stopped there for this job.
+  void add_victims(const Job& j, CandidateNode& node, Clock clock) const;
   bool may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const;
-  void make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins, Clock clock);
+  void make_room(const Job& j, const Selection& selection, Clock clock);
   void find_slow(PartIndex part, Seconds now);
   /// One line for each job that has waited for long to begin.
   void tell_waits(PartIndex part, Clock clock);
   void place(PartIndex part, Clock clock, bool thorough,
              std::map<JobIndex, std::vector<PlacedTask>>& planned);
-  /// Those of the tasks that need not wait for cheap machines; whole ordinary ones are shut to them.
-  std::vector<TaskNo> leave_whole_ones(const Job& j, Rooms& rooms, std::vector<Bin>& bins,
-                                       std::vector<TaskNo> tasks, Seconds now) const;
+  /// Nothing has happened since that could let a waiting job be placed.
+  bool is_unchanged(PartIndex part, const LastCycle& last, Seconds now) const;
+  Amounts quota_left(PartIndex part) const;
+  WaitCause place_job(Cycle& cycle, const Waiting& waiting);
+  Selection select_nodes(Cycle& cycle, const Job& j, const SelectionQuery& query,
+                         const std::vector<TaskNo>& tasks);
+  /// Takes the chosen room for the rest of the cycle and plans what can start at once.
+  WaitCause hold_and_plan(Cycle& cycle, JobIndex ji, std::size_t wanted, const Selection& selection);
+  /// Takes room for one task. True: it is there, and the task may be placed.
+  static bool hold(Cycle& cycle, const Job& j, const CandidateNode& node, bool look_first);
+  /// Those of the tasks that need not wait for cheap machines; whole ordinary ones are kept from them.
+  std::vector<TaskNo> leave_whole_ones(const Job& j, Cycle& cycle, SelectionQuery& query,
+                                       std::vector<TaskNo> tasks);
   void let_go_if_stranded(Job& j, Seconds now);
-  void plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+  void plan(JobIndex ji, const std::vector<PlacedTask>& here,
             std::map<JobIndex, std::vector<PlacedTask>>& planned);
   void write_job(JobIndex ji, const std::vector<PlacedTask>& planned, Seconds now, Effects& out);
   /// This owner writes more than that share of all changes that the state service takes.
@@ -189,12 +242,14 @@
   /// Marks of tasks that have ended on this machine wait no longer.
   void need_marks(MachineIndex mi);
   void direct_kills(Effects& out);
-  std::vector<Bin> bins_of(PartIndex part, Seconds now) const;
   Attempt next_attempt(PartIndex part) { return (model_.claim(part).stamp << 24) | ++attempts_; }
   Order kill_order(const Placement& p, Seconds now) const;
 
   Model& model_;
   Hold& hold_;
+  CapacityTracker capacity_;
+  std::vector<LastCycle> last_cycles_;  // by partition
+  bool checks_capacity_ = false;
   const Gate* gate_ = nullptr;
   Stamp seen_ = 0;
   std::uint64_t next_write_ = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -31,7 +31,7 @@
     if (std::size_t dot = r.machine.find('.'); dot != std::string::npos)
       rec.market = model_.names.markets.find(r.machine.substr(0, dot));
     if (!rec.type.valid() || !rec.zone.valid()) return;
-    model_.machine(model_.intern_machine(r.machine)).address = r.address;
+    model_.edit_machine(model_.intern_machine(r.machine)).address = r.address;
     adopt(r.machine, rec, r.tenure);
   };
 }
@@ -48,7 +48,7 @@
 
 void Fleet::take_in(const std::string& name, const std::string& address, const MachineRecord& rec) {
   MachineIndex m = model_.intern_machine(name);
-  if (model_.machine(m).address.empty()) model_.machine(m).address = address;
+  if (model_.machine(m).address.empty()) model_.edit_machine(m).address = address;
   adopt(name, rec);
 }
 
@@ -105,10 +105,10 @@
   for (const ListedMachine& l : machines) {
     MachineIndex m = model_.intern_machine(l.name);
     listed.insert(m);
-    Machine& mach = model_.machine(m);
-    if (mach.stamp != 0) {
-      if (mach.address.empty()) mach.address = l.address;
-      if (l.phase == ListedMachine::Phase::failed) mach.failed_listed = true;
+    const Machine& known = model_.machine(m);
+    if (known.stamp != 0) {
+      if (known.address.empty()) model_.edit_machine(m).address = l.address;
+      if (l.phase == ListedMachine::Phase::failed) model_.edit_machine(m).failed_listed = true;
       continue;
     }
     if (deleted_.count(m) != 0) continue;
@@ -129,11 +129,11 @@
   // A machine known for much longer than any list lags, and not listed, was taken. The list is no proof of
   // that: the machine is deleted, and the answer to the deletion is.
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
-    Machine& m = model_.machine(MachineIndex{i});
+    const Machine& m = model_.machine(MachineIndex{i});
     // The cloud's list says nothing of a market's machines.
     if (m.stamp != 0 && m.up && !m.rec.market.valid() && listed.count(MachineIndex{i}) == 0 &&
         now - m.known_since > 6 * model_.settings.list_lag_s) {
-      m.failed_listed = true;
+      model_.edit_machine(MachineIndex{i}).failed_listed = true;
     }
   }
 }
@@ -256,8 +256,8 @@
   return order;
 }
 
-std::vector<Bin> Fleet::part_bins(PartIndex part, Seconds now) const {
-  std::vector<Bin> bins;
+std::vector<CandidateNode> Fleet::part_bins(PartIndex part, Seconds now) const {
+  std::vector<CandidateNode> bins;
   auto add = [&](MachineIndex mi, TypeIndex type, ZoneIndex zone, bool spot, bool up, const Amounts& room,
                  Seconds age = 0) {
     const MachineType& t = model_.catalog[type.v];
@@ -296,8 +296,8 @@
   return bins;
 }
 
-std::vector<Bin> Fleet::victims(const Job& j, bool guaranteed, Clock clock) const {
-  std::vector<Bin> bins;
+std::vector<CandidateNode> Fleet::victims(const Job& j, bool guaranteed, Clock clock) const {
+  std::vector<CandidateNode> bins;
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     PartIndex other{p};
     if (other == j.spec.part) continue;
@@ -366,7 +366,7 @@
   // What tasks will leave within the patience, at the pace of late: nobody rents for that.
   double leaves = freed_rate_ * model_.settings.op.rent_patience_s;
   // Pool machines that can be handed over at once.
-  std::vector<Bin> pool;
+  std::vector<CandidateNode> pool;
   for (MachineIndex mi : model_.machines_of(pool_part)) {
     const Machine& m = model_.machine(mi);
     bool fresh =
@@ -384,7 +384,7 @@
       continue;
     pool.push_back({mi, a.rec.type, a.rec.zone, a.rec.spot, 0, model_.catalog[a.rec.type.v].room, 1});
   }
-  std::vector<std::vector<Bin>> own(model_.parts());
+  std::vector<std::vector<CandidateNode>> own(model_.parts());
   std::vector<Amounts> left(model_.parts());
   for (std::uint32_t p = 1; p < model_.parts(); ++p) {
     own[p] = part_bins(PartIndex{p}, clock.now);
@@ -393,13 +393,17 @@
     left[p] = {team.most.cpus > 0 ? team.most.cpus - use.cpus : 1e12,
                team.most.gpus > 0 ? team.most.gpus - use.gpus : 1e12, 1e12};
   }
+  std::vector<bool> whole_machines(model_.parts());  // by partition: some gang takes them
+  for (std::uint32_t p = 1; p < model_.parts(); ++p)
+    whole_machines[p] = scheduler_.needs_whole_machines(PartIndex{p});
+  std::vector<FailedSelections> failed(model_.parts());
   std::set<JobIndex> guaranteed;
   for (const Waiting& waiting : demand_order(clock, guaranteed)) {
     JobIndex ji = waiting.job;
     bool pressing = waiting.promise != Promise::ample;
     Job& j = model_.job(ji);
     PartIndex part = j.spec.part;
-    std::vector<Bin>& bins = own[part.v];
+    std::vector<CandidateNode>& bins = own[part.v];
     auto most = std::min<std::size_t>(
         {model_.placeable(ji), static_cast<std::size_t>(how_many_fit(j.spec.need, left[part.v])), 2000});
     if (j.spec.shape == Shape::gang && most < j.pending()) continue;
@@ -407,30 +411,29 @@
     if (tasks.empty()) continue;
     left[part.v] -= static_cast<double>(tasks.size()) * j.spec.need;
     auto by_zone = tasks_by_zone(model_, j);
-    bool spare_whole =
-        !pressing && scheduler_.needs_whole_machines(part) && cheap_to_be_had(j.spec, clock.now);
-    auto take = [&](std::vector<Bin>& from) {
+    bool spare_whole = !pressing && whole_machines[part.v] && cheap_to_be_had(j.spec, clock.now);
+    auto take = [&](std::vector<CandidateNode>& from) {
       see_as(j.spec, model_, from);
-      for (Bin& b : from) {
+      for (CandidateNode& b : from) {
         const MachineType& type = model_.catalog[b.type.v];
         b.shut = spare_whole && !b.spot && fills_cheaply(j.spec, type) && is_whole(b, type);
       }
       auto fit = choose(j.spec, tasks, from, by_zone);
-      for (const Choice& c : fit) ++by_zone[from[c.bin].zone.v];
+      for (const Choice& c : fit) ++by_zone[from[c.node].zone.v];
       tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(fit.size()));
       return fit;
     };
     // What others' machines add to the part's own; a gang must find itself whole in all of them together.
-    auto take_with = [&](std::vector<Bin> victims) {
+    auto take_with = [&](std::vector<CandidateNode> victims) {
       std::size_t from_pool = bins.size(), from_victims = from_pool + pool.size();
-      std::vector<Bin> all = bins;
+      std::vector<CandidateNode> all = bins;
       all.insert(all.end(), pool.begin(), pool.end());
       all.insert(all.end(), victims.begin(), victims.end());
       std::set<std::size_t> used;
       for (const Choice& c : take(all)) {
-        if (c.bin >= from_pool) used.insert(c.bin);
+        if (c.node >= from_pool) used.insert(c.node);
       }
-      std::vector<Bin> rest;
+      std::vector<CandidateNode> rest;
       bins.assign(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(from_pool));
       for (std::size_t i = from_pool; i < all.size(); ++i) {
         if (used.count(i) != 0) {
@@ -443,18 +446,25 @@
         }
       }
       pool = std::move(rest);
+      if (!used.empty()) failed[part.v] = {};  // what they leave of these machines is room for others
     };
     // Machines that are up come before those that still boot, idle ones of the pool too: these would be
     // returned while the job waits. For urgent work others' machines are drained.
     bool within = guaranteed.count(ji) != 0;
     bool urgent = model_.settings.op.preempt && (j.spec.rank >= Rank::high || within);
-    std::vector<Bin> up, booting;
-    for (const Bin& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
-    bins = std::move(up);
-    take_with(urgent ? victims(j, within, clock) : std::vector<Bin>{});
-    bins.insert(bins.end(), booting.begin(), booting.end());
-    if (!tasks.empty()) take(bins);
-    if (!tasks.empty()) take_with({});
+    // Others have asked for as much, or less, in vain in this very cycle.
+    bool in_vain = !within && failed[part.v].covers(j, tasks.size(), spare_whole, urgent);
+    if (!in_vain) {
+      std::size_t wanted = tasks.size();
+      std::vector<CandidateNode> up, booting;
+      for (const CandidateNode& b : bins) (b.wait_s > 0 ? booting : up).push_back(b);
+      bins = std::move(up);
+      take_with(urgent ? victims(j, within, clock) : std::vector<CandidateNode>{});
+      bins.insert(bins.end(), booting.begin(), booting.end());
+      if (!tasks.empty()) take(bins);
+      if (!tasks.empty()) take_with({});
+      if (!within && tasks.size() == wanted) failed[part.v].add(j, wanted, spare_whole, urgent);
+    }
     // Room that others leave soon is cheaper than a machine that has yet to boot.
     if (tasks.empty()) continue;
     leaves -= static_cast<double>(tasks.size()) * j.share;
@@ -468,6 +478,7 @@
       note_need(ji, lacking, within, clock);
     } else {
       rent_for(j, lacking, clock, bins);
+      failed[part.v] = {};
     }
   }
   if (source_ != nullptr) serve_needs(own, clock, out);
@@ -514,7 +525,7 @@
   needs_.push_back(std::move(n));
 }
 
-void Fleet::serve_needs(std::vector<std::vector<Bin>>& own, Clock clock, Effects& out) {
+void Fleet::serve_needs(std::vector<std::vector<CandidateNode>>& own, Clock clock, Effects& out) {
   std::vector<CloudOffer> cloud;
   for (std::uint32_t t = 0; t < model_.catalog.size(); ++t) {
     const MachineType& type = model_.catalog[t];
@@ -535,12 +546,12 @@
   needs_.clear();
 }
 
-void Fleet::note_turnover(const Job& j, const Bin& b, std::uint32_t count, Seconds now) {
+void Fleet::note_turnover(const Job& j, const CandidateNode& b, std::uint32_t count, Seconds now) {
   if (j.spec.shape == Shape::gang && j.share > 0.5 && !b.spot)
     turnover_.push_back({now, {b.type, b.zone, false}, count});
 }
 
-void Fleet::stand_by(const std::vector<Bin>& idle, Clock clock) {
+void Fleet::stand_by(const std::vector<CandidateNode>& idle, Clock clock) {
   // A gang that finds no whole machines waits for a boot. So as many stand idle as gangs take, at the pace of
   // late, while one boots. The share keeps the first minutes, when everything is asked for at once, from
   // filling the fleet with machines nobody will need.
@@ -560,7 +571,7 @@
       ++stock[k];  // boots
     }
   }
-  for (const Bin& b : idle) stock[{b.type, b.zone, b.spot}] += 1;
+  for (const CandidateNode& b : idle) stock[{b.type, b.zone, b.spot}] += 1;
   for (const auto& [name, a] : adopt_) {
     if (a.rec.part == pool_part && !a.rec.up) stock[{a.rec.type, a.rec.zone, a.rec.spot}] += 1;
   }
@@ -614,7 +625,7 @@
   return asking_.back();
 }
 
-void Fleet::rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<Bin>& bins) {
+void Fleet::rent_for(const Job& j, std::uint32_t tasks, Clock clock, std::vector<CandidateNode>& bins) {
   const JobSpec& spec = j.spec;
   struct Offer {
     double price;
@@ -630,7 +641,7 @@
     for (ZoneIndex z : type.zones) {
       if (scheduler_.dark(z, clock.now)) continue;  // what boots there cannot report
       auto have = static_cast<std::size_t>(
-          std::count_if(bins.begin(), bins.end(), [z](const Bin& b) { return b.zone == z; }));
+          std::count_if(bins.begin(), bins.end(), [z](const CandidateNode& b) { return b.zone == z; }));
       for (bool spot : {true, false}) {
         Kind kind{TypeIndex{t}, z, spot};
         if (spot && !model_.settings.op.use_spot) continue;
@@ -678,7 +689,7 @@
   };
   for (std::uint32_t i = 0; i < model_.machine_count(); ++i) {
     MachineIndex mi{i};
-    Machine& m = model_.machine(mi);
+    const Machine& m = model_.machine(mi);
     if (m.stamp == 0 || m.writing) continue;
     if (m.rec.mark == MachineMark::deleting) {
       bool of_market = m.rec.market.valid();
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -34,6 +34,7 @@
 Model::Model(Settings s, Names n) : settings(std::move(s)), names(std::move(n)) {
   live_.resize(names.parts.size());
   part_machines_.resize(names.parts.size());
+  wanted_.resize(names.parts.size());
   claims_.resize(names.parts.size());
   team_use_.resize(names.parts.size());
 }
@@ -75,7 +76,7 @@
 }
 
 void Model::reserve(MachineIndex i, const JobSpec& spec, int sign) {
-  Machine& m = machine(i);
+  Machine& m = edit_machine(i);
   m.reserved += sign * spec.need;
   m.reservations += static_cast<std::uint32_t>(sign);
   team_use_[spec.part.v] += sign * spec.need;
@@ -108,13 +109,27 @@
   return last;
 }
 
-Placement* Model::find_placement(TaskId id) {
+const Placement* Model::find_placement(TaskId id) const {
   auto j = jobs_.find(id.job.v);
   if (j == jobs_.end()) return nullptr;
   auto it = j->second.placed.find(id.task);
   return it == j->second.placed.end() ? nullptr : &it->second;
 }
 
+Placement* Model::edit_placement(TaskId id) {
+  const Placement* placement = find_placement(id);
+  if (placement == nullptr) return nullptr;
+  note_change(placement->machine);
+  return &jobs_.at(id.job.v).placed.at(id.task);
+}
+
+std::vector<MachineIndex> Model::take_changed() {
+  std::vector<MachineIndex> changed;
+  changed.swap(changed_);
+  for (MachineIndex m : changed) machines_[m.v].change_noted = false;
+  return changed;
+}
+
 std::vector<TaskNo> Model::pending_tasks(Job& j, std::size_t most) const {
   std::vector<TaskNo> out;
   for (std::uint32_t w = j.scan_from; w < j.busy.size() && out.size() < most; ++w) {
@@ -131,6 +146,7 @@
 
 void Model::set_state(Placement& p, PlacementState s, Seconds now) {
   if (p.state == s) return;
+  note_change(p.machine);
   SPDLOG_DEBUG("task {}/{} on {} try {}: {} -> {}", job(p.job).spec.ref, p.task,
                names.machines.name(p.machine), p.attempt, name_of(p.state), name_of(s));
   // The room is free from the proof on: the record may follow when it is convenient.
@@ -183,7 +199,7 @@
 }
 
 void Model::set_state(MachineIndex i, MachineState s, Seconds now) {
-  Machine& m = machine(i);
+  Machine& m = edit_machine(i);
   if (m.state == s) return;
   SPDLOG_DEBUG("machine {}: {} -> {}", names.machines.name(i), name_of(m.state), name_of(s));
   m.state = s;
@@ -196,6 +212,8 @@
     fresh.lasting = m.lasting;
     fresh.reserved = m.reserved;
     fresh.reservations = m.reservations;
+    fresh.changes = m.changes;
+    fresh.change_noted = m.change_noted;
     m = fresh;
   }
 }
@@ -232,7 +250,7 @@
   p.known_at = now;
   p.placed_at_s = t.at_s;
   j.placed.emplace(t.task, p);
-  Machine& m = machine(t.machine);
+  Machine& m = edit_machine(t.machine);
   m.on.push_back({index, t.task});
   m.up = true;
   occupy(j, p, 1);
@@ -241,7 +259,7 @@
 }
 
 void Model::occupy(const Job& j, const Placement& p, int sign) {
-  Machine& m = machine(p.machine);
+  Machine& m = edit_machine(p.machine);
   m.used += sign * j.spec.need;
   if (j.spec.shape == Shape::service) m.lasting += static_cast<std::uint32_t>(sign);
   if (j.spec.part.valid()) team_use_[j.spec.part.v] += sign * j.spec.need;
@@ -249,7 +267,7 @@
 }
 
 void Model::remove_placement(Job& j, std::map<TaskNo, Placement>::iterator it, Seconds now) {
-  Machine& m = machine(it->second.machine);
+  Machine& m = edit_machine(it->second.machine);
   JobIndex index = it->second.job;
   TaskNo task = it->first;
   if (!is_off(it->second.state)) occupy(j, it->second, -1);
@@ -352,7 +370,7 @@
     for (auto& [t, p] : j.placed) {
       if (t < j.spec.tasks) j.busy[t / 64] |= 1ULL << (t % 64);
       if (!is_off(p.state)) occupy(j, p, 1);
-      image_used(machine(p.machine), j.spec);
+      image_used(edit_machine(p.machine), j.spec);
     }
     // A job that was accepted while nobody listened has waited since then, not since it was read.
     double age = wall_ahead != 0 ? now + wall_ahead - j.spec.submitted_at : 0;
@@ -428,13 +446,24 @@
   jobs_.erase(it);
 }
 
+void Model::list_by_partition(MachineIndex m, const MachineRecord& rec) {
+  part_machines_[rec.part.v].insert(m);
+  bool comes = rec.wanted_by.valid() && rec.wanted_by != rec.part && rec.mark == MachineMark::none;
+  if (comes) wanted_[rec.wanted_by.v].insert(m);
+}
+
+void Model::unlist(MachineIndex m, const MachineRecord& rec) {
+  part_machines_[rec.part.v].erase(m);
+  if (rec.wanted_by.valid()) wanted_[rec.wanted_by.v].erase(m);
+}
+
 void Model::apply_machine(MachineIndex index, const MachineRecord* rec, Stamp stamp, Seconds now) {
-  Machine& m = machine(index);
-  if (m.stamp != 0) part_machines_[m.rec.part.v].erase(index);
+  Machine& m = edit_machine(index);
+  if (m.stamp != 0) unlist(index, m.rec);
   if (rec == nullptr) {
     // The record goes only after the cloud confirmed the deletion: everything on the machine is gone.
     for (TaskId id : m.on) {
-      Placement* p = find_placement(id);
+      Placement* p = edit_placement(id);
       if (p != nullptr && p->state != PlacementState::finished) {
         p->cause = EndCause::none;
         set_state(*p, PlacementState::gone, now);
@@ -453,7 +482,7 @@
   }
   m.rec = *rec;
   m.stamp = stamp;
-  part_machines_[rec->part.v].insert(index);
+  list_by_partition(index, *rec);
   if (rec->mark == MachineMark::deleting) {
     set_state(index, MachineState::deleting, now);
   } else if (moved) {
@@ -469,7 +498,7 @@
 
 void Model::take_over(PartIndex part, Seconds now) {
   for (MachineIndex i : part_machines_[part.v]) {
-    Machine& m = machine(i);
+    Machine& m = edit_machine(i);
     m.last_answered = -1;
     m.first_report = -1;
     m.tenure = m.serial = 0;  // reports held back from an earlier term must not pass for news
@@ -481,7 +510,7 @@
       set_state(i, m.on.empty() ? MachineState::expected : MachineState::unaccounted, now);
     }
     for (TaskId id : m.on) {
-      Placement* p = find_placement(id);
+      Placement* p = edit_placement(id);
       if (p == nullptr) continue;
       p->taken_over = true;
       p->started_at = now;
--- a/src/core/order.cpp
+++ b/src/core/order.cpp
@@ -37,6 +37,10 @@
   for (JobIndex ji : model.live_jobs(part)) {
     const Job& j = model.job(ji);
     if (j.placed.empty() || j.spec.estimate_s <= 0) continue;
+    if (j.saved.empty()) {  // all its tasks alike
+      rate += static_cast<double>(j.placed.size()) * j.share / (j.spec.estimate_s + start_margin_s);
+      continue;
+    }
     for (const auto& [t, p] : j.placed)
       rate += j.share / (progress::remaining(j.spec.estimate_s, j.saved_of(t)) + start_margin_s);
   }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -35,7 +35,7 @@
   return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
 }
 
-bool is_whole(const Bin& b, const MachineType& type) {
+bool is_whole(const CandidateNode& b, const MachineType& type) {
   return fits(type.room, b.room);
 }
 
@@ -52,7 +52,9 @@
 constexpr Seconds short_on_whole_s = 8, short_on_lasting_s = 4, short_on_mixed_s = 2,
                   short_on_cheap_whole_s = 1;
 
-Seconds spoils(const JobSpec& spec, const MachineType& type, const Bin& b) {
+}  // namespace
+
+Seconds spoils(const JobSpec& spec, const MachineType& type, const CandidateNode& b) {
   if (how_many_fit(spec.need, type.room) <= 1) return 0;
   bool whole = is_whole(b, type);
   if (spec.shape == Shape::service) return b.lasting ? 0 : whole ? lasting_on_whole_s : lasting_on_mixed_s;
@@ -60,10 +62,8 @@
   return b.lasting ? short_on_lasting_s : whole ? short_on_whole_s : short_on_mixed_s;
 }
 
-}  // namespace
-
-void see_as(const JobSpec& spec, const Model& model, std::vector<Bin>& bins, bool pressed) {
-  for (Bin& b : bins) {
+void see_as(const JobSpec& spec, const Model& model, std::vector<CandidateNode>& bins, bool pressed) {
+  for (CandidateNode& b : bins) {
     bool there = b.machine.valid() && Model::has_image(model.machine(b.machine), spec.image);
     const MachineType& type = model.catalog[b.type.v];
     b.start_s = b.wait_s + (there ? 0 : fetch_time(spec, type) + (pressed ? b.fetching_s : 0));
@@ -71,9 +71,9 @@
   }
 }
 
-Seconds last_start(const std::vector<Choice>& choices, const std::vector<Bin>& bins) {
+Seconds last_start(const std::vector<Choice>& choices, const std::vector<CandidateNode>& bins) {
   Seconds last = 0;
-  for (const Choice& c : choices) last = std::max(last, bins[c.bin].start_s);
+  for (const Choice& c : choices) last = std::max(last, bins[c.node].start_s);
   return last;
 }
 
@@ -81,15 +81,16 @@
 
 /// Bins that can take a task, best first: soonest start, with what it spoils, then cheap kind, then least
 /// room.
-std::vector<std::size_t> candidates(const JobSpec& spec, const std::vector<Bin>& bins, ZoneIndex only) {
+std::vector<std::size_t> candidates(const JobSpec& spec, const std::vector<CandidateNode>& bins,
+                                    ZoneIndex only) {
   std::vector<std::size_t> out;
   for (std::size_t i = 0; i < bins.size(); ++i) {
-    const Bin& b = bins[i];
+    const CandidateNode& b = bins[i];
     if (b.shut || (only.valid() && b.zone != only)) continue;
     if (allowed_on(spec, b.type, b.zone, b.spot) && fits(spec.need, b.room)) out.push_back(i);
   }
   std::stable_sort(out.begin(), out.end(), [&bins](std::size_t x, std::size_t y) {
-    const Bin &a = bins[x], &b = bins[y];
+    const CandidateNode &a = bins[x], &b = bins[y];
     Seconds start_a = a.start_s + a.spoils_s, start_b = b.start_s + b.spoils_s;
     if (start_a != start_b) return start_a < start_b;
     if (a.cost != b.cost) return a.cost < b.cost;
@@ -100,13 +101,14 @@
   return out;
 }
 
-std::vector<Choice> fill(const JobSpec& spec, const std::vector<TaskNo>& tasks, std::vector<Bin>& bins,
-                         std::vector<std::uint32_t>& by_zone, ZoneIndex only) {
+std::vector<Choice> fill(const JobSpec& spec, const std::vector<TaskNo>& tasks,
+                         std::vector<CandidateNode>& bins, std::vector<std::uint32_t>& by_zone,
+                         ZoneIndex only) {
   std::vector<Choice> out;
   std::uint32_t zone_most = spec.scatter ? (spec.tasks + 1) / 2 : spec.tasks;
   std::size_t next = 0;
   for (std::size_t i : candidates(spec, bins, only)) {
-    Bin& b = bins[i];
+    CandidateNode& b = bins[i];
     while (next < tasks.size() && fits(spec.need, b.room) && by_zone[b.zone.v] < zone_most) {
       out.push_back({tasks[next++], i});
       b.room -= spec.need;
@@ -117,18 +119,18 @@
   return out;
 }
 
-void undo(const JobSpec& spec, const std::vector<Choice>& choices, std::vector<Bin>& bins,
+void undo(const JobSpec& spec, const std::vector<Choice>& choices, std::vector<CandidateNode>& bins,
           std::vector<std::uint32_t>& by_zone) {
   for (const Choice& c : choices) {
-    bins[c.bin].room += spec.need;
-    --by_zone[bins[c.bin].zone.v];
+    bins[c.node].room += spec.need;
+    --by_zone[bins[c.node].zone.v];
   }
 }
 
 }  // namespace
 
-std::vector<Choice> choose(const JobSpec& spec, const std::vector<TaskNo>& tasks, std::vector<Bin>& bins,
-                           std::vector<std::uint32_t> by_zone) {
+std::vector<Choice> choose(const JobSpec& spec, const std::vector<TaskNo>& tasks,
+                           std::vector<CandidateNode>& bins, std::vector<std::uint32_t> by_zone) {
   std::vector<Choice> best;
   if (tasks.empty()) return best;
   if (!spec.one_zone) {
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -14,6 +14,8 @@
 constexpr double worth_looking_s = 5;  // a gang that would start later than this is worth a second look
 constexpr double leader_looks_s = 0.7;
 constexpr double gather_s = 1.5;  // between two changes that place parts of a job, while changes are scarce
+constexpr std::size_t most_failures = 64;
+constexpr Seconds never = std::numeric_limits<double>::infinity();
 constexpr double gather_from_share = 0.35;  // of the changes a second, written by this owner alone
 
 /// It still takes up its room, but not for long. (What is off already has left it.)
@@ -23,78 +25,29 @@
 
 }  // namespace
 
-std::vector<Bin> Scheduler::bins_of(PartIndex part, Seconds now) const {
-  std::vector<Bin> bins;
-  for (MachineIndex mi : model_.machines_of(part)) {
-    const Machine& m = model_.machine(mi);
-    if (m.recalled || m.writing || m.rec.wanted_by.valid()) continue;
-    if (m.blocked_until > now || m.faulty_until > now) continue;
-    // A machine just handed over reports here within moments: its tasks may be placed already.
-    bool arriving = m.state == MachineState::expected && m.up && now - m.part_since < arrival_s();
-    // A machine that has missed reports may be gone: nothing new goes there until it speaks again.
-    bool speaking =
-        m.state == MachineState::ready && now - m.last_answered < 2.5 * model_.settings.report_s + 1;
-    if ((!arriving && !speaking) || dark(m.rec.zone, now)) continue;
-    bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, 0, model_.room(m)});
-    bins.back().lasting = m.lasting > 0;
-    // A member that gave up waiting has its image here and comes back as soon as its end is durable. (Taken
-    // by another gang in that moment, the machine cost it a second fetch, longer than a gang waits; so gangs
-    // with large images began after 340 s.)
-    for (TaskId id : m.on) {
-      const Placement& p = *model_.find_placement(id);
-      if (p.state == PlacementState::gone && p.cause == EndCause::incomplete)
-        bins.back().room -= model_.job(id.job).spec.need;
-    }
-    bins.back().fetching_s = fetching_s(m, now);
-  }
-  return bins;
-}
-
-Seconds Scheduler::fetching_s(const Machine& m, Seconds now) const {
-  std::map<ImageIndex, Seconds> left;
-  for (TaskId id : m.on) {
-    const Placement& p = *model_.find_placement(id);
-    const JobSpec& spec = model_.job(id.job).spec;
-    if (p.phase != TaskPhase::fetching || is_off(p.state) || !spec.image.valid()) continue;
-    Seconds since = p.started_at > 0 ? now - p.started_at : 0;
-    left[spec.image] = std::max(0.0, fetch_time(spec, model_.catalog[m.rec.type.v]) - since);
-  }
-  Seconds sum = 0;
-  for (const auto& [image, s] : left) sum += s;
-  return sum;
+SelectionQuery Scheduler::query_for(const Job& j, Seconds now) const {
+  SelectionQuery query;
+  query.spec = &j.spec;
+  for (std::uint32_t z = 0; z < model_.names.zones.size(); ++z)
+    query.unreachable.push_back(dark(ZoneIndex{z}, now));
+  query.fetch_backlog_s = [this, now](MachineIndex m) { return capacity_.fetch_backlog_s(m, now); };
+  return query;
 }
 
-Scheduler::Rooms Scheduler::rooms_of(PartIndex part, Seconds now) const {
-  const Settings& s = model_.settings;
-  Rooms rooms;
-  rooms.bins = bins_of(part, now);
-  rooms.real = rooms.bins.size();
-  for (const Bin& b : rooms.bins) {
-    Amounts leaving;
-    for (TaskId id : model_.machine(b.machine).on) {
-      if (is_leaving(*model_.find_placement(id))) leaving += model_.job(id.job).spec.need;
-    }
-    rooms.leaving.push_back(leaving);
-  }
-  auto add = [&](MachineIndex mi, const Machine& m, Seconds wait) {
-    rooms.bins.push_back({mi, m.rec.type, m.rec.zone, m.rec.spot, wait, Amounts{}});
-    rooms.leaving.push_back(model_.catalog[m.rec.type.v].room);
-  };
-  for (MachineIndex mi : model_.machines_of(part)) {
+std::vector<Scheduler::ForecastNode> Scheduler::forecast_of(PartIndex part, Seconds now) {
+  std::vector<ForecastNode> forecast;
+  auto add = [&](MachineIndex mi, Seconds wait) {
     const Machine& m = model_.machine(mi);
-    Seconds boot = model_.catalog[m.rec.type.v].boot_s, age = now - m.known_since;
-    bool booting = m.state == MachineState::expected && !m.up && m.on.empty() && age < 2 * boot;
-    if (booting && !m.rec.wanted_by.valid() && !dark(m.rec.zone, now))
-      add(mi, m, std::max(s.report_s, boot - age));
-  }
-  for (std::uint32_t p = 1; p < model_.parts(); ++p) {
-    if (PartIndex{p} == part) continue;
-    for (MachineIndex mi : model_.machines_of(PartIndex{p})) {
-      const Machine& m = model_.machine(mi);
-      if (m.rec.wanted_by == part && m.rec.mark == MachineMark::none) add(mi, m, hand_over_s);
-    }
+    forecast.push_back(
+        {{mi, m.rec.type, m.rec.zone, m.rec.spot, wait, Amounts{}}, model_.catalog[m.rec.type.v].room});
+  };
+  const FreeCapacity& capacity = capacity_.of(part);
+  for (MachineIndex mi : capacity.booting()) {
+    if (!dark(model_.machine(mi).rec.zone, now))
+      add(mi, std::max(model_.settings.report_s, capacity.find(mi)->up_at - now));
   }
-  return rooms;
+  for (MachineIndex mi : model_.machines_wanted_by(part)) add(mi, hand_over_s);
+  return forecast;
 }
 
 bool Scheduler::may_make_room(const Job& victim, const Placement& p, const Job& j, Clock clock) const {
@@ -102,32 +55,52 @@
          may_be_stopped(model_, victim, p, clock);
 }
 
-std::vector<Bin> Scheduler::foresee(const Job& j, const Rooms& rooms, bool preempting, Clock clock) const {
-  std::vector<Bin> bins = rooms.bins;
-  for (std::size_t i = 0; i < bins.size(); ++i) {
-    Bin& b = bins[i];
-    if (fits(j.spec.need, b.room)) continue;
-    b.room += rooms.leaving[i];
-    if (i >= rooms.real) continue;
-    b.wait_s = leave_s;
-    if (fits(j.spec.need, b.room) || !preempting) continue;
-    for (TaskId id : model_.machine(b.machine).on) {
-      const Job& victim = model_.job(id.job);
-      const Placement& p = *model_.find_placement(id);
-      if (!may_make_room(victim, p, j, clock) || is_leaving(p) || is_off(p.state)) continue;
-      b.room += victim.spec.need;
-      b.wait_s = std::max(b.wait_s, leave_s + victim.spec.flush_s);
-      b.cost = 2;
-    }
+std::vector<CandidateNode> Scheduler::forecast_for(const Job& j, const Cycle& cycle, bool preempting) {
+  std::vector<CandidateNode> nodes;
+  const FreeCapacity& capacity = *cycle.capacity;
+  const Amounts& need = j.spec.need;
+  auto lacks_room = [&](MachineIndex mi) {
+    const CandidateNode& node = capacity.find(mi)->node;
+    return !fits(need, node.room) && !dark(node.zone, cycle.clock.now);
+  };
+  for (MachineIndex mi : capacity.with_leaving()) {
+    if (!lacks_room(mi)) continue;
+    nodes.push_back(capacity.find(mi)->node);
+    nodes.back().room += capacity.find(mi)->leaving;
+    nodes.back().wait_s = leave_s;
+  }
+  for (const ForecastNode& f : cycle.forecast) {
+    nodes.push_back(f.node);
+    nodes.back().room = f.coming;
+  }
+  for (MachineIndex mi : preempting ? capacity.preemptible() : std::set<MachineIndex>{}) {
+    const MachineCapacity& offer = *capacity.find(mi);
+    if (offer.lowest_rank >= j.spec.rank || !lacks_room(mi)) continue;
+    if (fits(need, offer.node.room + offer.leaving)) continue;
+    CandidateNode node = offer.node;
+    node.room += offer.leaving;
+    node.wait_s = leave_s;
+    add_victims(j, node, cycle.clock);
+    if (fits(need, node.room)) nodes.push_back(node);
+  }
+  see_as(j.spec, model_, nodes);
+  return nodes;
+}
+
+void Scheduler::add_victims(const Job& j, CandidateNode& node, Clock clock) const {
+  for (TaskId id : model_.machine(node.machine).on) {
+    const Job& victim = model_.job(id.job);
+    const Placement& p = *model_.find_placement(id);
+    if (!may_make_room(victim, p, j, clock) || is_leaving(p) || is_off(p.state)) continue;
+    node.room += victim.spec.need;
+    node.wait_s = std::max(node.wait_s, leave_s + victim.spec.flush_s);
+    node.cost = 2;
   }
-  see_as(j.spec, model_, bins);
-  return bins;
 }
 
-void Scheduler::make_room(const Job& j, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
-                          Clock clock) {
+void Scheduler::make_room(const Job& j, const Selection& selection, Clock clock) {
   std::map<MachineIndex, Amounts> needed;
-  for (const Choice& c : choices) needed[bins[c.bin].machine] += j.spec.need;
+  for (const Choice& c : selection.choices) needed[selection.nodes[c.node].machine] += j.spec.need;
   for (auto& [mi, need] : needed) {
     const Machine& m = model_.machine(mi);
     if (m.rec.part != j.spec.part) continue;
@@ -137,9 +110,10 @@
     }
     for (TaskId id : std::vector<TaskId>(m.on)) {
       if (fits(need, free)) break;
-      Placement& p = *model_.find_placement(id);
+      if (!may_make_room(model_.job(id.job), *model_.find_placement(id), j, clock)) continue;
+      Placement& p = *model_.edit_placement(id);
       Job& victim = model_.job(id.job);
-      if (!may_make_room(victim, p, j, clock) || is_leaving(p) || is_off(p.state)) continue;
+      if (is_leaving(p) || is_off(p.state)) continue;
       free += victim.spec.need;
       SPDLOG_DEBUG("task {}/{} makes room for job {}", victim.spec.ref, id.task, j.spec.ref);
       stop(p, victim.spec.flush_s, clock.now);
@@ -148,7 +122,7 @@
   }
 }
 
-void Scheduler::plan(JobIndex ji, const std::vector<Choice>& choices, const std::vector<Bin>& bins,
+void Scheduler::plan(JobIndex ji, const std::vector<PlacedTask>& here,
                      std::map<JobIndex, std::vector<PlacedTask>>& planned) {
   Job& j = model_.job(ji);
   bool gang = j.spec.shape == Shape::gang;
@@ -157,12 +131,13 @@
   // What exceeds one transaction follows in the next; the rest of a large gang as missing members.
   std::set<MachineIndex> machines;
   std::set<std::uint32_t> chunks;
-  for (const Choice& c : choices) {
-    machines.insert(bins[c.bin].machine);
-    chunks.insert(c.task / chunk_tasks);
+  for (PlacedTask task : here) {
+    machines.insert(task.machine);
+    chunks.insert(task.task / chunk_tasks);
     if (machines.size() > most_machines(model_.settings) || chunks.size() > most_chunks(model_.settings))
       break;
-    planned[ji].push_back({c.task, bins[c.bin].machine, gang ? shared : next_attempt(part), false});
+    task.attempt = gang ? shared : next_attempt(part);
+    planned[ji].push_back(task);
   }
 }
 
@@ -183,35 +158,33 @@
   });
 }
 
-std::vector<TaskNo> Scheduler::leave_whole_ones(const Job& j, Rooms& rooms, std::vector<Bin>& bins,
-                                                std::vector<TaskNo> tasks, Seconds now) const {
+std::vector<TaskNo> Scheduler::leave_whole_ones(const Job& j, Cycle& cycle, SelectionQuery& query,
+                                                std::vector<TaskNo> tasks) {
   // Gangs wait for whole ordinary machines, and each short task on one keeps them from it. Work that may run
   // on cheap machines leaves them alone while cheap ones are asked for or on their way.
   if (j.spec.shape != Shape::array || !j.spec.spot) return tasks;
-  auto cheap_will_do = [&](const Bin& b) { return fills_cheaply(j.spec, model_.catalog[b.type.v]); };
-  std::size_t elsewhere = 0, coming = 0;
-  for (std::size_t i = 0; i < bins.size(); ++i) {
-    Bin& b = bins[i];
-    if (!allowed_on(j.spec, b.type, b.zone, b.spot) || !cheap_will_do(b)) continue;
-    if (i >= rooms.real) {
-      if (b.spot) coming += static_cast<std::size_t>(how_many_fit(j.spec.need, rooms.leaving[i]));
-      continue;
-    }
-    b.shut = !b.spot && is_whole(b, model_.catalog[b.type.v]);
-    if (!b.shut) elsewhere += static_cast<std::size_t>(how_many_fit(j.spec.need, b.room));
-  }
+  auto will_do = [&](const CandidateNode& node) {
+    return node.spot && allowed_on(j.spec, node.type, node.zone, true);
+  };
+  query.spare_whole = true;
+  std::size_t elsewhere = cycle.capacity->count_cheap_places(query, tasks.size());
   if (tasks.size() <= elsewhere) return tasks;
-  if (now - j.first_seen >= model_.settings.op.rent_patience_s && tasks.size() > elsewhere + coming) {
-    // More than comes: what is left over may have the whole ones.
-    for (Bin& b : bins) b.shut = false;
+  std::size_t coming = 0;
+  for (const ForecastNode& f : cycle.forecast) {
+    if (will_do(f.node) && fills_cheaply(j.spec, model_.catalog[f.node.type.v]))
+      coming += static_cast<std::size_t>(how_many_fit(j.spec.need, f.coming));
+  }
+  bool patient = cycle.clock.now - j.first_seen < model_.settings.op.rent_patience_s;
+  if (!patient && tasks.size() > elsewhere + coming) {
+    query.spare_whole = false;  // more than comes: what is left over may have the whole ones
     return tasks;
   }
   // The rest waits for what comes, and those behind it see that room as taken.
   std::size_t rest = tasks.size() - elsewhere;
-  for (std::size_t i = rooms.real; i < bins.size() && rest > 0; ++i) {
-    if (!bins[i].spot || !allowed_on(j.spec, bins[i].type, bins[i].zone, true)) continue;
-    while (rest > 0 && fits(j.spec.need, rooms.leaving[i])) {
-      rooms.leaving[i] -= j.spec.need;
+  for (ForecastNode& f : cycle.forecast) {
+    if (!will_do(f.node)) continue;
+    while (rest > 0 && fits(j.spec.need, f.coming)) {
+      f.coming -= j.spec.need;
       --rest;
     }
   }
@@ -221,103 +194,180 @@
 
 void Scheduler::place(PartIndex part, Clock clock, bool thorough,
                       std::map<JobIndex, std::vector<PlacedTask>>& planned) {
+  capacity_.refresh(clock.now);
+  if (checks_capacity_) capacity_.require_consistent(clock.now);
+  LastCycle& last = last_cycles_[part.v];
+  if (!thorough && is_unchanged(part, last, clock.now)) return;
+  last = {capacity_.version(part), never};
   auto order = waiting_order(model_, part, clock);
   if (order.empty()) return;
   // Of a gang that is not in the order an earlier attempt has yet to end.
   for (JobIndex ji : model_.live_jobs(part)) model_.job(ji).waits_for = WaitCause::attempt;
   for (const Waiting& w : order) model_.job(w.job).waits_for = WaitCause::turn;
-  Rooms rooms = rooms_of(part, clock.now);
+  Cycle cycle{part,
+              clock,
+              thorough,
+              needs_whole_machines(part),
+              &capacity_.of(part),
+              forecast_of(part, clock.now),
+              quota_left(part),
+              {},
+              &last,
+              &planned};
+  for (const Waiting& waiting : order) model_.job(waiting.job).waits_for = place_job(cycle, waiting);
+}
+
+bool Scheduler::is_unchanged(PartIndex part, const LastCycle& last, Seconds now) const {
+  if (model_.counsel != nullptr || now >= last.wake_at || last.version != capacity_.version(part))
+    return false;
+  return std::none_of(model_.dirty.begin(), model_.dirty.end(), [&](JobIndex ji) {
+    const Job* job = model_.known_job(ji);
+    return job != nullptr && job->spec.part == part;
+  });
+}
+
+Amounts Scheduler::quota_left(PartIndex part) const {
   const Team& team = model_.settings.teams[part.v];
   auto quota = [](double most, double used) { return most > 0 ? most - used : 1e12; };
   Amounts use = model_.team_use(part);  // all that is possibly on a machine, with what is being written
-  Amounts left{quota(team.most.cpus, use.cpus), quota(team.most.gpus, use.gpus), 1e12};
-  bool spare_whole = needs_whole_machines(part);
-  for (const Waiting& waiting : order) {
-    JobIndex ji = waiting.job;
-    Job& j = model_.job(ji);
-    auto waits_for = [&j](WaitCause c) { j.waits_for = c; };
-    if (j.writing || clock.now < j.write_after) {
-      waits_for(WaitCause::transaction);
-      continue;
-    }
-    if (clock.now < j.place_after) {
-      waits_for(WaitCause::pause);
-      continue;
-    }
-    bool gang = j.spec.shape == Shape::gang;
-    std::size_t most = std::min<std::size_t>(model_.placeable(ji),
-                                             static_cast<std::size_t>(how_many_fit(j.spec.need, left)));
-    if (most == 0 || (gang && most < j.pending())) {
-      waits_for(WaitCause::limit);
-      continue;
-    }
-    auto tasks = model_.pending_tasks(j, most);
-    auto by_zone = tasks_by_zone(model_, j);
-    bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && thorough;
-    std::vector<Bin> bins = rooms.bins;
-    see_as(j.spec, model_, bins, waiting.promise != Promise::ample);
-    if (spare_whole && waiting.promise == Promise::ample)
-      tasks = leave_whole_ones(j, rooms, bins, tasks, clock.now);
-    if (tasks.empty()) {
-      waits_for(WaitCause::cheap);
-      continue;
-    }
-    auto choices = choose(j.spec, tasks, bins, by_zone);
-    Seconds start = last_start(choices, bins);
-    // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
-    // fetch and wait on those that are there. Otherwise smaller jobs would take these one by one. And a
-    // machine that has the image may start it sooner than one that is free.
-    if (gang && (choices.empty() || start > worth_looking_s)) {
-      for (bool others : {false, true}) {
-        if (others && !preempting) continue;
-        std::vector<Bin> seen = foresee(j, rooms, others, clock);
-        auto better = choose(j.spec, tasks, seen, by_zone);
-        if (better.empty() || (!choices.empty() && last_start(better, seen) + leave_s > start)) continue;
-        choices = std::move(better);
-        start = last_start(choices, seen);
-        bins = std::move(seen);
-      }
-    } else if (choices.size() < tasks.size() && preempting) {
-      std::vector<Bin> seen = foresee(j, rooms, false, clock);
-      std::size_t soon = choose(j.spec, tasks, seen, by_zone).size();
-      seen = foresee(j, rooms, true, clock);
-      auto more = choose(j.spec, tasks, seen, by_zone);
-      if (more.size() > soon) make_room(j, more, seen, clock);
-    }
-    if (choices.empty()) {
-      waits_for(WaitCause::room);
-      if (gang && !j.placed.empty()) let_go_if_stranded(j, clock.now);
-      continue;
-    }
-    j.stranded_since = -1;
-    // The leader may know machines with the image that other work of lower rank holds: it gets a moment to
-    // ask for them before a long fetch begins.
-    bool look_first = gang && j.spec.rank >= Rank::high && start > worth_looking_s && j.placed.empty() &&
-                      model_.settings.op.preempt && clock.now - j.first_seen < leader_looks_s;
-    if (gang && preempting && !look_first) make_room(j, choices, bins, clock);
-    left -= static_cast<double>(choices.size()) * j.spec.need;
-    std::vector<Choice> here;
-    for (const Choice& c : choices) {
-      bool there = !look_first && c.bin < rooms.real && fits(j.spec.need, rooms.bins[c.bin].room);
-      if (there) here.push_back(c);
-      bool held = there || (look_first && fits(j.spec.need, rooms.bins[c.bin].room));
-      (held ? rooms.bins[c.bin].room : rooms.leaving[c.bin]) -= j.spec.need;
-      // Its fetch, which those behind it would share.
-      if (there && bins[c.bin].start_s > 0) rooms.bins[c.bin].fetching_s += bins[c.bin].start_s;
-      if (there && j.spec.shape == Shape::service) rooms.bins[c.bin].lasting = true;
+  return {quota(team.most.cpus, use.cpus), quota(team.most.gpus, use.gpus), 1e12};
+}
+
+WaitCause Scheduler::place_job(Cycle& cycle, const Waiting& waiting) {
+  Job& j = model_.job(waiting.job);
+  Seconds now = cycle.clock.now;
+  if (j.writing || now < j.write_after) {
+    cycle.last->wake_by(j.write_after);
+    return WaitCause::transaction;
+  }
+  if (now < j.place_after) {
+    cycle.last->wake_by(j.place_after);
+    return WaitCause::pause;
+  }
+  bool gang = j.spec.shape == Shape::gang;
+  std::size_t most = std::min<std::size_t>(
+      model_.placeable(waiting.job), static_cast<std::size_t>(how_many_fit(j.spec.need, cycle.quota_left)));
+  if (most == 0 || (gang && most < j.pending())) return WaitCause::limit;
+  auto tasks = model_.pending_tasks(j, most);
+  SelectionQuery query = query_for(j, now);
+  query.pressed = waiting.promise != Promise::ample;
+  if (cycle.spare_whole && !query.pressed) tasks = leave_whole_ones(j, cycle, query, tasks);
+  if (tasks.empty()) return WaitCause::cheap;
+  Selection selection = select_nodes(cycle, j, query, tasks);
+  if (selection.choices.empty()) {
+    if (gang && !j.placed.empty()) let_go_if_stranded(j, now);
+    return WaitCause::room;
+  }
+  j.stranded_since = -1;
+  return hold_and_plan(cycle, waiting.job, tasks.size(), selection);
+}
+
+Selection Scheduler::select_nodes(Cycle& cycle, const Job& j, const SelectionQuery& query,
+                                  const std::vector<TaskNo>& tasks) {
+  bool gang = j.spec.shape == Shape::gang;
+  bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && cycle.thorough;
+  if (cycle.failed.covers(j, tasks.size(), query.spare_whole, preempting)) return {};
+  auto by_zone = tasks_by_zone(model_, j);
+  FreeCapacity& capacity = *cycle.capacity;
+  Selection selection = capacity.select(query, tasks, by_zone);
+  Seconds start = selection.last_start_s();
+  SelectionQuery ahead = query;
+  ahead.pressed = ahead.spare_whole = false;
+  // A gang is not only whole or nothing: while the rest of its machines are sure to come, its members
+  // fetch and wait on those that are there. Otherwise smaller jobs would take these one by one. And a
+  // machine that has the image may start it sooner than one that is free.
+  if (gang && (selection.choices.empty() || start > worth_looking_s)) {
+    for (bool others : {false, true}) {
+      if (others && !preempting) continue;
+      Selection better = capacity.select(ahead, tasks, by_zone, forecast_for(j, cycle, others));
+      if (better.choices.empty()) continue;
+      if (!selection.choices.empty() && better.last_start_s() + leave_s > start) continue;
+      selection = std::move(better);
+      start = selection.last_start_s();
     }
-    // Machines that come one by one would cost a change each: what is there is held, and written together.
-    bool gathers =
-        here.size() < tasks.size() && busy(gather_from_share) && clock.now - j.planned_at < gather_s;
-    waits_for(look_first                     ? WaitCause::leader
-              : gathers                      ? WaitCause::changes
-              : here.size() < choices.size() ? WaitCause::coming
-              : here.size() < tasks.size()   ? WaitCause::room
-                                             : WaitCause::transaction);
-    if (gathers || here.empty()) continue;
-    j.planned_at = clock.now;
-    plan(ji, here, rooms.bins, planned);
+  } else if (selection.choices.size() < tasks.size() && preempting) {
+    std::size_t soon = capacity.select(ahead, tasks, by_zone, forecast_for(j, cycle, false)).choices.size();
+    Selection more = capacity.select(ahead, tasks, by_zone, forecast_for(j, cycle, true));
+    if (more.choices.size() > soon) make_room(j, more, cycle.clock);
+    if (!more.choices.empty()) return selection;
   }
+  if (selection.choices.empty()) cycle.failed.add(j, tasks.size(), query.spare_whole, preempting);
+  return selection;
+}
+
+WaitCause Scheduler::hold_and_plan(Cycle& cycle, JobIndex ji, std::size_t wanted,
+                                   const Selection& selection) {
+  Job& j = model_.job(ji);
+  Seconds now = cycle.clock.now;
+  bool gang = j.spec.shape == Shape::gang;
+  bool preempting = model_.settings.op.preempt && j.spec.rank > Rank::low && cycle.thorough;
+  // The leader may know machines with the image that other work of lower rank holds: it gets a moment to
+  // ask for them before a long fetch begins.
+  bool look_first = gang && j.spec.rank >= Rank::high && selection.last_start_s() > worth_looking_s &&
+                    j.placed.empty() && model_.settings.op.preempt && now - j.first_seen < leader_looks_s;
+  if (look_first) cycle.last->wake_by(j.first_seen + leader_looks_s);
+  if (gang && preempting && !look_first) make_room(j, selection, cycle.clock);
+  cycle.quota_left -= static_cast<double>(selection.choices.size()) * j.spec.need;
+  std::vector<PlacedTask> here;
+  for (const Choice& c : selection.choices) {
+    const CandidateNode& node = selection.nodes[c.node];
+    if (hold(cycle, j, node, look_first)) here.push_back({c.task, node.machine, 0, false});
+  }
+  // Machines that come one by one would cost a change each: what is there is held, and written together.
+  bool gathers = here.size() < wanted && busy(gather_from_share) && now - j.planned_at < gather_s;
+  if (gathers) cycle.last->wake_by(j.planned_at + gather_s);
+  if (!gathers && !here.empty()) {
+    j.planned_at = now;
+    plan(ji, here, *cycle.planned);
+  }
+  return look_first                               ? WaitCause::leader
+         : gathers                                ? WaitCause::changes
+         : here.size() < selection.choices.size() ? WaitCause::coming
+         : here.size() < wanted                   ? WaitCause::room
+                                                  : WaitCause::transaction;
+}
+
+bool Scheduler::hold(Cycle& cycle, const Job& j, const CandidateNode& node, bool look_first) {
+  FreeCapacity& capacity = *cycle.capacity;
+  const MachineCapacity* offer = capacity.find(node.machine);
+  bool up = offer != nullptr && !offer->booting;
+  if (up && fits(j.spec.need, offer->node.room)) {
+    capacity.take(node.machine, j.spec.need);
+    if (look_first) return false;
+    // Its fetch, which those behind it would share.
+    if (node.start_s > 0) capacity.add_fetch(node.machine, node.start_s);
+    if (j.spec.shape == Shape::service) capacity.host_service(node.machine);
+    return true;
+  }
+  if (up) {
+    capacity.take_leaving(node.machine, j.spec.need);
+    return false;
+  }
+  for (ForecastNode& f : cycle.forecast) {
+    if (f.node.machine == node.machine) f.coming -= j.spec.need;
+  }
+  return false;
+}
+
+void FailedSelections::add(const Job& j, std::size_t tasks, bool spare_whole, bool preempting) {
+  // Where its other tasks are decides as well; and a long list would cost more than it saves.
+  if (!j.placed.empty() || j.spec.scatter || failed_.size() >= most_failures) return;
+  failed_.push_back({&j.spec, tasks, spare_whole, preempting});
+}
+
+bool FailedSelections::covers(const Job& j, std::size_t tasks, bool spare_whole, bool preempting) const {
+  if (!j.placed.empty()) return false;
+  const JobSpec& spec = j.spec;
+  return std::any_of(failed_.begin(), failed_.end(), [&](const Failure& f) {
+    const JobSpec& other = *f.spec;
+    bool same = other.types == spec.types && other.zone == spec.zone && other.spot == spec.spot &&
+                other.one_zone == spec.one_zone && other.shape == spec.shape && f.spare_whole == spare_whole;
+    bool asks_more = other.need.cpus <= spec.need.cpus && other.need.gpus <= spec.need.gpus &&
+                     other.need.memory_gb <= spec.need.memory_gb &&
+                     (spec.shape != Shape::gang || f.tasks <= tasks);
+    bool stops_no_more = !preempting || (f.preempting && other.rank >= spec.rank);
+    return same && asks_more && stops_no_more;
+  });
 }
 
 }  // namespace oxbowmill
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -43,7 +43,7 @@
     a.kind = ReportAnswer::Kind::ok;
     return a;
   }
-  Machine& m = model_.machine(mi);
+  Machine& m = model_.edit_machine(mi);
   a.token = model_.token(m);
   // A worker that has seen a higher token would drop the answer; a stale report must not count as news.
   if (r.token > a.token) return ReportAnswer{};
@@ -98,11 +98,11 @@
 
 Scheduler::StartNews Scheduler::read_tasks(MachineIndex mi, const WorkerReport& r, bool token_shown,
                                            bool none_taken, Seconds now) {
-  Machine& m = model_.machine(mi);
+  Machine& m = model_.edit_machine(mi);
   StartNews news;
   auto on = m.on;
   for (TaskId id : on) {
-    Placement& p = *model_.find_placement(id);
+    Placement& p = *model_.edit_placement(id);
     if (p.state == PlacementState::finished || p.state == PlacementState::gone) continue;
     const std::string& ref = model_.job(id.job).spec.ref;
     auto t = std::find_if(r.tasks.begin(), r.tasks.end(), [&](const TaskReport& x) {
@@ -180,7 +180,7 @@
 
 void Scheduler::prove_empty(MachineIndex mi, Seconds now) {
   for (TaskId id : model_.machine(mi).on) {
-    Placement& p = *model_.find_placement(id);
+    Placement& p = *model_.edit_placement(id);
     if (is_off(p.state)) continue;
     p.cause = EndCause::none;
     model_.set_state(p, PlacementState::gone, now);
@@ -191,13 +191,13 @@
 }
 
 void Scheduler::spare(MachineIndex mi, Seconds now) {
-  Machine& m = model_.machine(mi);
+  Machine& m = model_.edit_machine(mi);
   if (m.blocked_until < now)
     SPDLOG_INFO("machine {}: does not hear its answers", model_.names.machines.name(mi));
   m.blocked_until = std::max(m.blocked_until, now + model_.settings.op.block_s);
   // What was to start here has not: the last answer that carried it was not taken either.
   for (TaskId id : m.on) {
-    Placement& p = *model_.find_placement(id);
+    Placement& p = *model_.edit_placement(id);
     if (p.state != PlacementState::placed || p.taken_over) continue;
     p.cause = EndCause::none;
     model_.set_state(p, PlacementState::gone, now);
@@ -240,7 +240,7 @@
                       Seconds now) {
   for (const TaskReport& t : r.tasks) {
     JobIndex ji = model_.find_job(t.job);
-    Placement* p = ji.valid() ? model_.find_placement({ji, t.task}) : nullptr;
+    const Placement* p = ji.valid() ? model_.find_placement({ji, t.task}) : nullptr;
     if (p != nullptr && p->machine == mi && p->attempt == t.attempt) continue;
     // Not ours to run: its record went when it was proved to have ended, or was never made.
     if (t.phase == TaskPhase::ended) {
@@ -252,7 +252,7 @@
     }
   }
   for (TaskId id : model_.machine(mi).on) {
-    Placement& p = *model_.find_placement(id);
+    const Placement& p = *model_.find_placement(id);
     bool wanted = all || model_.job(id.job).phase == JobPhase::cancelled;
     if (p.state == PlacementState::stopping && wanted) orders.push_back(kill_order(p, now));
   }
@@ -260,11 +260,11 @@
 
 void Scheduler::response_orders(MachineIndex mi, const WorkerReport& r, std::vector<Order>& orders,
                                 Seconds now) {
-  Machine& m = model_.machine(mi);
+  Machine& m = model_.edit_machine(mi);
   kills(mi, r, true, orders, now);
   if (m.state != MachineState::ready || m.recalled) return;
   for (TaskId id : m.on) {
-    Placement& p = *model_.find_placement(id);
+    Placement& p = *model_.edit_placement(id);
     Job& j = model_.job(id.job);
     if (!may_start(j, p)) continue;
     if (p.leftover) orders.push_back({OrderVerb::clear, j.spec.ref, p.task, p.attempt, 0});
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -35,6 +35,12 @@
   return false;
 }
 
+std::uint64_t Scheduler::visits() const {
+  std::uint64_t sum = 0;
+  for (std::uint32_t p = 0; p < model_.parts(); ++p) sum += capacity_.of(PartIndex{p}).visits();
+  return sum;
+}
+
 Guard Scheduler::claim_guard(PartIndex p) const {
   return {ClaimKey{p}, model_.claim(p).stamp};
 }
@@ -42,7 +48,7 @@
 void Scheduler::queue(Effects& out, Urgency urgency, Transaction txn,
                       const std::vector<MachineIndex>& machines, std::vector<Ring> rings,
                       std::function<void()> settled) {
-  for (MachineIndex m : machines) model_.machine(m).writing = true;
+  for (MachineIndex m : machines) model_.edit_machine(m).writing = true;
   std::uint64_t id = ++next_write_;
   changes_ += static_cast<double>(txn.changes.size());
   pending_[id] = {txn, urgency, JobIndex{}, machines,          {}, {}, std::move(rings), {},
@@ -99,7 +105,7 @@
 void Scheduler::settle(std::map<std::uint64_t, Pending>::iterator it, Seconds now, double back_off) {
   Pending p = std::move(it->second);
   pending_.erase(it);
-  for (MachineIndex m : p.machines) model_.machine(m).writing = false;
+  for (MachineIndex m : p.machines) model_.edit_machine(m).writing = false;
   Job* j = p.job.valid() ? model_.live_job(p.job) : nullptr;
   if (j != nullptr) {
     j->writing = false;
@@ -173,6 +179,11 @@
   }
 }
 
+bool Scheduler::holds_tasks(const Machine& m) const {
+  return std::any_of(m.on.begin(), m.on.end(),
+                     [this](TaskId id) { return !is_off(model_.find_placement(id)->state); });
+}
+
 void Scheduler::watch_machines(PartIndex part, Clock clock, Effects& out) {
   const Settings& s = model_.settings;
   Seconds now = clock.now;
@@ -186,7 +197,7 @@
   }
   auto machines = model_.machines_of(part);
   for (MachineIndex mi : machines) {
-    Machine& m = model_.machine(mi);
+    const Machine& m = model_.machine(mi);
     // While a machine has not shown our token, the earlier owner may have kept it alive through its grace.
     bool counted = m.last_answered >= 0 || m.state == MachineState::unaccounted ||
                    (m.state == MachineState::deleting && m.taken_over);
@@ -196,12 +207,8 @@
       ++z.due;
       z.heard += now - m.last_answered < 1.6 * s.report_s + 0.5 ? 1 : 0;
     }
-    bool news = m.state != MachineState::silent && m.state != MachineState::deleting;
-    for (TaskId id : m.on) {
-      PlacementState state = model_.find_placement(id)->state;
-      news = news || (state != PlacementState::gone && state != PlacementState::finished);
-    }
-    if (silent && news) {
+    bool known_silent = m.state == MachineState::silent || m.state == MachineState::deleting;
+    if (silent && (!known_silent || holds_tasks(m))) {
       SPDLOG_INFO("machine {}: silent, its lease is over", model_.names.machines.name(mi));
       prove_empty(mi, now);
       if (m.state != MachineState::deleting) model_.set_state(mi, MachineState::silent, now);
@@ -221,7 +228,7 @@
     }
     if (m.recalled || m.faulty_until > now || m.rec.wanted_by.valid()) {
       for (TaskId id : std::vector<TaskId>(m.on)) {
-        Placement& p = *model_.find_placement(id);
+        Placement& p = *model_.edit_placement(id);
         Job& j = model_.job(id.job);
         stop(p, j.spec.flush_s, now);
         if (j.spec.shape == Shape::gang) check_gang(j, now);
@@ -229,7 +236,7 @@
     }
     if (m.state == MachineState::expected && now - m.part_since > 2 * arrival_s()) {
       // Handed over, but it does not come: what was placed there in advance was never sent.
-      for (TaskId id : std::vector<TaskId>(m.on)) stop(*model_.find_placement(id), 0, now);
+      for (TaskId id : std::vector<TaskId>(m.on)) stop(*model_.edit_placement(id), 0, now);
     }
     // A placement that is being written may become durable before the move: its task would be on a machine
     // of a part whose owner does not know the job.
@@ -279,19 +286,20 @@
     std::set<JobIndex> jobs;
     for (TaskId id : tasks) jobs.insert(id.job);
     if (jobs.size() < 2) continue;
-    Machine& m = model_.machine(mi);
+    Machine& m = model_.edit_machine(mi);
     if (m.blocked_until < now) {
       SPDLOG_INFO("machine {}: blocked, slow tasks of {} jobs", model_.names.machines.name(mi), jobs.size());
     }
     m.blocked_until = std::max(m.blocked_until, now + op.block_s);
     if (!op.restart_slow) continue;
-    auto bins = bins_of(part, now);
+    capacity_.refresh(now);
     for (TaskId id : tasks) {
       Job& j = model_.job(id.job);
-      see_as(j.spec, model_, bins);
       // Without free room elsewhere the task is left running.
-      if (choose(j.spec, {id.task}, bins, tasks_by_zone(model_, j)).empty()) continue;
-      model_.find_placement(id)->want_restart = true;  // made durable first, then stopped
+      Selection elsewhere = capacity_.of(part).select(query_for(j, now), {id.task}, tasks_by_zone(model_, j));
+      if (elsewhere.choices.empty()) continue;
+      capacity_.of(part).take(elsewhere.nodes.front().machine, j.spec.need);
+      model_.edit_placement(id)->want_restart = true;  // made durable first, then stopped
       model_.dirty.insert(id.job);
     }
   }
@@ -466,11 +474,11 @@
   auto kick = std::move(model_.kick);
   model_.kick.clear();
   for (MachineIndex mi : kick) {
-    Machine& m = model_.machine(mi);
+    const Machine& m = model_.machine(mi);
     if (m.stamp == 0 || !owns(m.rec.part) || m.address.empty() || m.tenure == 0) continue;
     DirectOrders d{mi, m.tenure, model_.token(m), {}};
     for (TaskId id : m.on) {
-      Placement& p = *model_.find_placement(id);
+      const Placement& p = *model_.find_placement(id);
       if (p.state == PlacementState::stopping) d.orders.push_back(kill_order(p, p.stop_since));
     }
     if (!d.orders.empty()) out.direct.push_back(std::move(d));
@@ -498,7 +506,7 @@
   std::set<MachineIndex> machines;
   for (const PlacedTask& t : p.planned) machines.insert(t.machine);
   for (MachineIndex mi : machines) {
-    Machine& m = model_.machine(mi);
+    Machine& m = model_.edit_machine(mi);
     if (m.state != MachineState::ready || !owns(m.rec.part) || m.address.empty()) continue;
     // A worker counts a higher token as news once in half a lease; where it reports soon anyway, it need not.
     Seconds next_report = m.last_answered + s.report_s - now;
@@ -541,7 +549,7 @@
     if (check_slow) find_slow(part, clock.now);
     if (check_slow) tell_waits(part, clock);
     for (TaskId id : model_.counsel != nullptr ? model_.counsel->unwanted(part) : std::vector<TaskId>{}) {
-      if (Placement* unwanted = model_.find_placement(id))
+      if (Placement* unwanted = model_.edit_placement(id))
         stop(*unwanted, model_.job(id.job).spec.flush_s, clock.now);
     }
     place(part, clock, check_machines, planned);
--- a/src/lab/cluster.cpp
+++ b/src/lab/cluster.cpp
@@ -55,6 +55,7 @@
       fleet(model, scheduler),
       state_(state) {
   model.catalog = std::move(catalog);
+  scheduler.check_capacity();
 }
 
 void Controller::square(const recovery::Settings& settings) {
--- a/src/lab/fleet_controllers.cpp
+++ b/src/lab/fleet_controllers.cpp
@@ -199,11 +199,11 @@
       q.pop_front();
       std::optional<State::Result> r;
       auto here = static_cast<std::size_t>(&n - nodes.data());
-      if (now < n.cut_until || now < n.alone_until || apart(zone_of(here))) {
-        r = std::nullopt;
-      } else if (now < n.refused_until) {
+      bool unreachable = now < n.cut_until || now < n.alone_until || apart(zone_of(here));
+      bool refused = !unreachable && now < n.refused_until;
+      if (refused) {
         r = State::Result{503, Json::object()};
-      } else if (!state.outage() && loses_next(c, w)) {
+      } else if (unreachable || (!state.outage() && loses_next(c, w))) {
         r = std::nullopt;
       } else if (!state.outage() && !writes.take(changes, now)) {
         r = State::Result{429, Json::object()};
--- a/src/release/planner.cpp
+++ b/src/release/planner.cpp
@@ -170,6 +170,7 @@
       next.state = lifted;
       next.why = "taken out by the operators";
       put(name, std::move(next), clock, out, true);
+      return;
     }
     if (plan.state != decided) return;
   } else if (plan.state != decided) {
--- a/tests/bench/start_bench.cpp
+++ b/tests/bench/start_bench.cpp
@@ -51,7 +51,7 @@
     w.c.node(1).renew(w.c.now);
     w.c.node(1).sync(w.c.now);
     for (MachineIndex m : w.c.node(1).model.machines_of(PartIndex{1}))
-      w.c.node(1).model.machine(m).last_answered = w.c.now;
+      w.c.node(1).model.edit_machine(m).last_answered = w.c.now;
     Effects out = w.c.node(1).decide(w.c.now);
     benchmark::DoNotOptimize(out);
   }
--- a/tests/detector_test.cpp
+++ b/tests/detector_test.cpp
@@ -120,7 +120,7 @@
   c.run(2);
   MachineIndex m = c.node(0).model.names.machines.find("m1");
   JobIndex j = c.node(0).model.find_job("run-1");
-  Placement& p = *c.node(0).model.find_placement({j, 0});
+  Placement& p = *c.node(0).model.edit_placement({j, 0});
   p.want_restart = true;
   c.node(0).model.dirty.insert(j);
   c.node(0).pass(c.now);
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -283,7 +283,7 @@
     std::uint64_t back = k.node_0_back ? c.register_node(0) : 0;
     c.run(1, 1);
     if (k.node_0_gone_again) c.state.end_hold(back);
-    if (k.handed_over) model.machine(model.names.machines.find("m1")).taken_over = false;
+    if (k.handed_over) model.edit_machine(model.names.machines.find("m1")).taken_over = false;
     c.run(model.settings.lease_over_s() - 2, 1);
     EXPECT_EQ(c.placed("run-1", 0), std::vector<std::string>{"m1"}) << k.what;
     c.run(4, 1);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -1,9 +1,9 @@
 // The real program over loopback against stand-ins of the state service, the cloud and a worker.
 #include <gtest/gtest.h>
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <thread>
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -10,7 +10,7 @@
 using lab::Cluster;
 using lab::test_job;
 
-Bin bin(std::uint32_t zone, double gpus, bool image = false, bool spot = false) {
+CandidateNode bin(std::uint32_t zone, double gpus, bool image = false, bool spot = false) {
   return {MachineIndex{}, TypeIndex{0}, ZoneIndex{zone}, spot, 0, {32, gpus, 128}, 0, image ? 0.0 : 10.0};
 }
 
@@ -21,7 +21,7 @@
     std::uint32_t tasks;
     double gpus;
     bool one_zone, scatter, spot;
-    std::vector<Bin> bins;
+    std::vector<CandidateNode> bins;
     std::size_t placed;
   };
   const Case cases[] = {
@@ -60,19 +60,19 @@
 TEST(Placement, OldAttemptsFixTheZone) {
   JobSpec s = test_job("run-1", 3);
   s.one_zone = true;
-  std::vector<Bin> bins = {bin(0, 4), bin(1, 1)};
+  std::vector<CandidateNode> bins = {bin(0, 4), bin(1, 1)};
   auto chosen = choose(s, {1, 2}, bins, {0, 1});
   ASSERT_EQ(chosen.size(), 1U);
-  EXPECT_EQ(bins[chosen[0].bin].zone.v, 1U);
+  EXPECT_EQ(bins[chosen[0].node].zone.v, 1U);
   EXPECT_TRUE(choose(s, {2}, bins, {1, 1}).empty());
 }
 
 TEST(Placement, PrefersTheImageThenTheFullestMachine) {
   JobSpec s = test_job("run-1", 1);
-  std::vector<Bin> bins = {bin(0, 4), bin(0, 2), bin(0, 3, true)};
-  EXPECT_EQ(choose(s, {0}, bins, {0, 0})[0].bin, 2U);
+  std::vector<CandidateNode> bins = {bin(0, 4), bin(0, 2), bin(0, 3, true)};
+  EXPECT_EQ(choose(s, {0}, bins, {0, 0})[0].node, 2U);
   bins = {bin(0, 4), bin(0, 2)};
-  EXPECT_EQ(choose(s, {0}, bins, {0, 0})[0].bin, 1U);
+  EXPECT_EQ(choose(s, {0}, bins, {0, 0})[0].node, 1U);
 }
 
 TEST(Order, GivesUpTheFewestJobs) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -485,7 +485,7 @@
   c.node(1).square(settings);
   c.node(1).claim_all(c.now);
   // It was up, nothing is on it, and it stays silent: no lease speaks for it.
-  c.node(1).model.machine(c.node(1).model.names.machines.find("m0")).up = true;
+  c.node(1).model.edit_machine(c.node(1).model.names.machines.find("m0")).up = true;
   c.silenced.insert("m0");
   c.run(c.node(1).model.settings.takeover_silence_s() + settings.demand_window_s + 6, 1);
   EXPECT_GE(c.node(1).start->state(pool_part), PartState::easing);
@@ -577,7 +577,6 @@
 RC_GTEST_PROP(StartProps, DoubtNeedsSilenceAndProvesNothing, ()) {
   Started s(8);
   s.take_over();
-  recovery::Settings settings;
   std::map<std::string, double> spoke;
   auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 30));
   for (int step : steps) {
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -145,11 +145,11 @@
   Model model(lab::test_settings("node-0"), lab::test_names());
   model.catalog = {type};
   auto whole = [&](bool spot) {
-    Bin b{MachineIndex{}, TypeIndex{0}, ZoneIndex{0}, spot, 0, type.room};
+    CandidateNode b{MachineIndex{}, TypeIndex{0}, ZoneIndex{0}, spot, 0, type.room};
     return b;
   };
   auto part = [&](bool lasting, bool spot = false) {
-    Bin b = whole(spot);
+    CandidateNode b = whole(spot);
     b.room -= Amounts{2, 1, 8};
     b.lasting = lasting;
     return b;
@@ -160,7 +160,7 @@
   struct Case {
     const char* what;
     const JobSpec& spec;
-    std::vector<Bin> bins;
+    std::vector<CandidateNode> bins;
     std::size_t chosen;
   };
   const Case cases[] = {
@@ -177,7 +177,7 @@
     see_as(k.spec, model, bins);
     auto chosen = choose(k.spec, {0}, bins, {0, 0});
     ASSERT_EQ(chosen.size(), 1U) << k.what;
-    EXPECT_EQ(chosen[0].bin, k.chosen) << k.what;
+    EXPECT_EQ(chosen[0].node, k.chosen) << k.what;
   }
 }
 
