Scale run: real controllers beside thousands of hollow workers on loopback

Need: the users want the size of 20,000 workers worked towards, and what is claimed of it measured. Faults: controllers killed or stopped, the state service away, workers gone, replaced, cut off.

--- a/app/oxbow_lab.cpp
+++ b/app/oxbow_lab.cpp
@@ -1,10 +1,12 @@
 // The laboratory: experiments on a simulated clock. Nothing of it is part of a controller.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <thread>
@@ -15,6 +17,7 @@
 #include "oxbowmill/lab/fleet_experiment.h"
 #include "oxbowmill/lab/histories.h"
 #include "oxbowmill/lab/market_server.h"
+#include "oxbowmill/lab/scale_run.h"
 
 namespace {
 
@@ -93,6 +96,21 @@
   return std::any_of(rows.begin(), rows.end(), [](const auto& r) { return r.broken != 0; }) ? 1 : 0;
 }
 
+int scale(const std::string& file, lab::ScaleOptions options, const std::string& report_file) {
+  lab::ScaleSettings settings = lab::load_scale_settings(file);
+  if (options.directory.empty())
+    options.directory =
+        (std::filesystem::temp_directory_path() / ("scale-" + std::to_string(::getpid()))).string();
+  lab::ScaleReport report = lab::play_scale(settings, options);
+  std::cout << lab::table(report) << "  settings and logs in " << options.directory << '\n';
+  if (!report_file.empty()) {
+    std::ofstream out(report_file);
+    out << report.figures.dump(2) << '\n';
+    if (!out) throw std::runtime_error(report_file + ": cannot be written");
+  }
+  return report.broken.empty() ? 0 : 1;
+}
+
 int serve(const std::string& file, const std::string& name, const std::string& listen) {
   lab::Scenario s = lab::load_scenario(file);
   auto c = std::find_if(s.markets.begin(), s.markets.end(),
@@ -145,6 +163,15 @@
   h->add_option("--from", from, "the first seed");
   h->add_option("--seeds", seeds, "how many seeds");
   h->add_option("--threads", threads, "how many at a time");
+  lab::ScaleOptions scale_options;
+  scale_options.program = (std::filesystem::path(argv[0]).parent_path() / "oxbowmill").string();
+  auto* cell =
+      app.add_subcommand("scale", "real controllers beside thousands of hollow workers, on loopback");
+  cell->add_option("settings", file, "what is played (YAML)")->required();
+  cell->add_option("--program", scale_options.program, "the controller; the one beside this program");
+  cell->add_option("--operator", scale_options.operators, "its operators' settings; several may be given");
+  cell->add_option("--logs", scale_options.directory, "where settings and logs go; a new directory");
+  cell->add_option("--report", report, "file for the figures (JSON)");
   std::string name, listen = "127.0.0.1:0";
   auto* one_market =
       app.add_subcommand("market", "one stand-in market of a scenario on a socket, until it is ended");
@@ -154,6 +181,7 @@
   try {
     app.parse(argc, argv);
     if (one_market->parsed()) return serve(file, name, listen);
+    if (cell->parsed()) return scale(file, scale_options, report);
     if (h->parsed()) return histories(from, seeds, threads);
     if (g->parsed()) return agreed(file, seeds, threads);
     if (c->parsed()) return cluster(file, fleet, seeds, threads, report, one, way);
--- a/include/oxbowmill/lab/state.h
+++ b/include/oxbowmill/lab/state.h
@@ -40,6 +40,8 @@
   std::uint64_t revision() const { return revision_; }
   const std::map<std::string, Entry>& keys() const { return keys_; }
   const std::vector<Event>& events() const { return events_; }
+  /// The changes since this was last asked, for whoever keeps them itself.
+  std::vector<Event> take_events();
 
  private:
   void change(const std::string& key, std::optional<Json> value, std::uint64_t hold);
--- a/include/oxbowmill/lab/worker.h
+++ b/include/oxbowmill/lab/worker.h
@@ -43,10 +43,12 @@
   Attempt attempt(const std::string& task) const { return tasks_.at(task).attempt; }
   const std::string& name() const { return name_; }
   std::uint64_t tenure() const { return tenure_; }
+  std::uint64_t token() const { return token_; }
   double recall_s = -1;
   double lease_s = 10;
   bool saves = true;
   TaskPhase first_phase = TaskPhase::running;  // of a task that has just started
+  std::string address = "127.0.0.1:1";         // where it takes commands
 
  private:
   void execute(const std::vector<Order>& orders);
--- a/src/lab/state.cpp
+++ b/src/lab/state.cpp
@@ -11,6 +11,12 @@
   }
 }
 
+std::vector<State::Event> State::take_events() {
+  std::vector<Event> taken;
+  taken.swap(events_);
+  return taken;
+}
+
 State::Result State::txn(const Json& body) {
   if (outage_) return {503, Json::object()};
   if (body.at("apply").size() > txn_ops || body.at("guards").size() > 4 * txn_ops) {
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -21,7 +21,7 @@
   tick(now);
   WorkerReport r;
   r.machine = name_;
-  r.address = "127.0.0.1:1";
+  r.address = address;
   r.type = "std";
   r.zone = zone_;
   r.spot = spot_;
