Linter findings in the new files

Cause: the linter was not run over the new files before. Change: range loops, moves without effect, a const method, a callback by reference.

--- a/src/core/capacity_tracker.cpp
+++ b/src/core/capacity_tracker.cpp
@@ -125,8 +125,8 @@
 
 void CapacityTracker::refresh(Seconds now) {
   note_catalog();
-  for (std::uint32_t p = 0; p < partitions_.size(); ++p) {
-    for (MachineIndex machine : partitions_[p].take_provisional()) update(machine, now);
+  for (FreeCapacity& partition : partitions_) {
+    for (MachineIndex machine : partition.take_provisional()) update(machine, now);
   }
   for (MachineIndex machine : model_.take_changed()) update(machine, now);
   std::vector<MachineIndex> due;
--- a/src/core/free_capacity.cpp
+++ b/src/core/free_capacity.cpp
@@ -240,9 +240,9 @@
     like.start_s = fetch_time(spec, type);
     Stream rest(*index_, spec, group.all, like, imaged);
     if (query_->pressed && key.fetching) {
-      add_fetching(std::move(rest));
+      add_fetching(rest);
     } else {
-      add_stream(std::move(rest));
+      add_stream(rest);
     }
   }
   /// The fetches under way differ from machine to machine, so these are ordered one by one.
@@ -261,8 +261,8 @@
       if (fits(spec.need, node.room)) heads_.push({node, no_stream, true});
     }
   }
-  void add_stream(Stream stream) {
-    streams_.push_back(std::move(stream));
+  void add_stream(const Stream& stream) {
+    streams_.push_back(stream);
     push_head(streams_.size() - 1);
   }
   void push_head(std::size_t stream) {
--- a/src/lab/hollow_fleet.cpp
+++ b/src/lab/hollow_fleet.cpp
@@ -142,7 +142,7 @@
     due_.pop();
     on_due(due, now);
   }
-  for (std::size_t i = 0; i < machines_.size(); ++i) tick_machine(*machines_[i], now);
+  for (const auto& machine : machines_) tick_machine(*machine, now);
   if (now >= next_told_) tell_counts();
   expected_tick_ = now_() + tick_s;
   timer_.after(tick_s);
--- a/src/lab/scale_run.cpp
+++ b/src/lab/scale_run.cpp
@@ -350,7 +350,7 @@
     }
   }
 
-  void add_usage(Process& process) {
+  void add_usage(Process& process) const {
     if (process.pid <= 0) return;
     Usage usage = usage_of(process.pid);
     if (warm_) {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -182,8 +182,8 @@
   }
 
   void request(evhttp_cmd_type method, const std::string& path, const Json& body,
-               std::function<void(int, const Json&)> fn) {
-    raw_request(method, path, body.is_null() ? "" : wire::encode(body), std::move(fn));
+               const std::function<void(int, const Json&)>& fn) {
+    raw_request(method, path, body.is_null() ? "" : wire::encode(body), fn);
   }
   void raw_request(evhttp_cmd_type method, const std::string& path, const std::string& body,
                    const std::function<void(int, const Json&)>& fn) {
