--- a/include/oxbowmill/lab/hollow_fleet.h
+++ b/include/oxbowmill/lab/hollow_fleet.h
@@ -61,7 +61,8 @@
     double reports = 0, report_bytes = 0, answer_bytes = 0, unanswered = 0, commands = 0, command_bytes = 0;
     double late_s = 0;  // the worst lateness of the loop since it was last told
   };
-  void add_machine(double up_at);
+  /// Its name.
+  std::string add_machine(std::size_t zone, double up_at);
   void power_off(Hollow& hollow);
   void tick();
   void tick_machine(Hollow& hollow, double now);
@@ -94,7 +95,8 @@
   std::function<double()> now_;
   std::mt19937_64 random_;
   RunLog log_;
-  std::vector<std::unique_ptr<Hollow>> machines_;
+  std::map<std::size_t, std::unique_ptr<Hollow>> machines_;  // by number
+  std::vector<std::size_t> next_in_zone_;
   std::map<std::string, Gang> gangs_;
   std::set<std::string> done_;
   std::map<std::string, double> saved_s_;
--- a/src/lab/hollow_fleet.cpp
+++ b/src/lab/hollow_fleet.cpp
@@ -93,7 +93,9 @@
     event.machine = machine;
     events_.write(event);
   };
-  for (std::uint32_t i = 0; i < settings.workers; ++i) add_machine(began_ + uniform(0, settings.report_s));
+  next_in_zone_.resize(settings.zones);
+  for (std::uint32_t i = 0; i < settings.workers; ++i)
+    add_machine(i % settings.zones, began_ + uniform(0, settings.report_s));
   cloud_ = std::make_unique<net::HttpServer>(base, addresses.cloud(), wire::most_body,
                                              [this](net::Request&& r) { serve_cloud(std::move(r)); });
   timer_.after(tick_s);
@@ -101,8 +103,9 @@
 
 HollowFleet::~HollowFleet() = default;
 
-void HollowFleet::add_machine(double up_at) {
-  std::size_t number = machines_.size();
+std::string HollowFleet::add_machine(std::size_t zone, double up_at) {
+  // A machine's number tells its zone, to whoever knows only its name.
+  std::size_t number = settings_.zones * next_in_zone_[zone]++ + zone;
   auto hollow = std::make_unique<Hollow>(number, scale_machine_name(number),
                                          scale_zone_name(number % settings_.zones), log_);
   hollow->worker.lease_s = settings_.lease_s;
@@ -111,8 +114,10 @@
   hollow->up_at = hollow->next_report = up_at;
   hollow->born = now_();
   hollow->controller = number % settings_.controllers;
-  machines_.push_back(std::move(hollow));
+  std::string name = hollow->worker.name();
+  machines_[number] = std::move(hollow);
   ++alive_;
+  return name;
 }
 
 void HollowFleet::power_off(Hollow& hollow) {
@@ -142,7 +147,7 @@
     due_.pop();
     on_due(due, now);
   }
-  for (const auto& machine : machines_) tick_machine(*machine, now);
+  for (const auto& [number, hollow] : machines_) tick_machine(*hollow, now);
   if (now >= next_told_) tell_counts();
   expected_tick_ = now_() + tick_s;
   timer_.after(tick_s);
@@ -283,7 +288,7 @@
 }
 
 void HollowFleet::on_due(const Due& due, double now) {
-  Hollow& hollow = *machines_[due.machine];
+  Hollow& hollow = *machines_.at(due.machine);
   auto found = hollow.runs.find(due.id);
   if (!hollow.alive || found == hollow.runs.end() || found->second.attempt != due.attempt) return;
   Run& run = found->second;
@@ -334,14 +339,14 @@
   Gang& gang = gangs_[ref];
   if (gang.members.size() < scale_job(settings_, ref).kind->tasks) return;
   auto is_ready = [&](const auto& member) {
-    auto found = machines_[member.second]->runs.find(ref + "/" + std::to_string(member.first));
-    return found != machines_[member.second]->runs.end() && found->second.gathers_since >= 0;
+    auto found = machines_.at(member.second)->runs.find(ref + "/" + std::to_string(member.first));
+    return found != machines_.at(member.second)->runs.end() && found->second.gathers_since >= 0;
   };
   if (!std::all_of(gang.members.begin(), gang.members.end(), is_ready)) return;
   gang.running = true;
   for (const auto& [task, machine] : gang.members) {
     std::string member = ref + "/" + std::to_string(task);
-    begin_running(*machines_[machine], member, machines_[machine]->runs.at(member), now);
+    begin_running(*machines_.at(machine), member, machines_.at(machine)->runs.at(member), now);
   }
 }
 
@@ -366,7 +371,7 @@
 std::vector<HollowFleet::Hollow*> HollowFleet::some_machines(std::uint32_t count) {
   // Neighbours, as machines of a rack are.
   std::vector<Hollow*> alive;
-  for (const auto& hollow : machines_) {
+  for (const auto& [number, hollow] : machines_) {
     if (hollow->alive) alive.push_back(hollow.get());
   }
   if (alive.empty()) return alive;
@@ -382,7 +387,8 @@
   if (!gone && fault.kind != ScaleFaultKind::workers_cut) return;  // another process's
   for (Hollow* hollow : some_machines(fault.count)) {
     if (gone) power_off(*hollow);
-    if (fault.kind == ScaleFaultKind::workers_replaced) add_machine(now + settings_.boot_s);
+    if (fault.kind == ScaleFaultKind::workers_replaced)
+      add_machine(hollow->number % settings_.zones, now + settings_.boot_s);
     if (fault.kind == ScaleFaultKind::workers_cut) hollow->cut_until = now + fault.for_s;
   }
 }
@@ -424,12 +430,10 @@
   Json hosts = Json::array();
   auto wanted = body.at("count").get<std::size_t>();
   std::string zone = body.at("yard").get<std::string>();
-  // Machines are numbered through the zones in turn: only those of the zone that comes next can be had.
   bool spot = body.value("loaners", false);
-  while (!spot && hosts.size() < wanted && alive_ < settings_.workers &&
-         scale_zone_name(machines_.size() % settings_.zones) == zone) {
-    hosts.push_back(scale_machine_name(machines_.size()));
-    add_machine(now_() + settings_.boot_s * uniform(0.6, 1.5));
+  for (std::size_t z = 0; z < settings_.zones && !spot; ++z) {
+    while (scale_zone_name(z) == zone && hosts.size() < wanted && alive_ < settings_.workers)
+      hosts.push_back(add_machine(z, now_() + settings_.boot_s * uniform(0.6, 1.5)));
   }
   if (hosts.empty()) rentals_.erase(known);
   Json answer = {{"hosts", hosts}};
@@ -443,15 +447,16 @@
   std::string from = at == std::string::npos ? "" : query.substr(at + 5, scale_machine_name(0).size());
   Json hosts = Json::array();
   bool truncated = false;
-  for (std::size_t i = from.empty() ? 0 : scale_machine_number(from) + 1; i < machines_.size(); ++i) {
-    const Hollow& hollow = *machines_[i];
+  auto first = from.empty() ? machines_.begin() : machines_.upper_bound(scale_machine_number(from));
+  for (; first != machines_.end(); ++first) {
+    const Hollow& hollow = *first->second;
     if (!hollow.alive) continue;
     truncated = hosts.size() >= most;
     if (truncated) break;
     hosts.push_back({{"ref", hollow.worker.name()},
                      {"address", hollow.worker.address},
                      {"rig", type_name},
-                     {"yard", scale_zone_name(i % settings_.zones)},
+                     {"yard", scale_zone_name(hollow.number % settings_.zones)},
                      {"loaners", false},
                      {"phase", now_() < hollow.up_at ? "starting" : "running"},
                      {"age_s", now_() - hollow.born}});
@@ -474,8 +479,8 @@
   }
   if (request.path != "/rentals/delete") return reply(404, Json::object());
   for (const Json& name : body->at("hosts")) {
-    std::size_t number = scale_machine_number(name.get<std::string>());
-    if (number < machines_.size()) power_off(*machines_[number]);
+    auto found = machines_.find(scale_machine_number(name.get<std::string>()));
+    if (found != machines_.end()) power_off(*found->second);
   }
   reply(200, Json::object());
 }
