--- a/include/oxbowmill/core/fleet.h
+++ b/include/oxbowmill/core/fleet.h
@@ -15,6 +15,8 @@
 
 enum class RentState : std::uint8_t { asked, in_doubt };
 
+constexpr Seconds demand_interval_s = 0.25;  // between two looks of the leader at who needs machines
+
 class Fleet {
  public:
   Fleet(Model& model, Scheduler& scheduler);
--- a/include/oxbowmill/core/model.h
+++ b/include/oxbowmill/core/model.h
@@ -143,7 +143,7 @@
   Seconds known_since = 0;     // record first seen
   Seconds part_since = 0;      // in its present part since, as far as this node saw
   Seconds last_answered = -1;  // last report that we answered with 200
-  Seconds rung_at = -1e9;      // when it was last asked to report at once
+  Seconds woken_at = -1e9;     // when it was last asked to report at once
   Stamp placed_at = 0;         // latest placement here that our claim and the machine's record guarded
   Seconds first_report = -1;
   Seconds idle_since = 0;
--- a/include/oxbowmill/core/scheduler.h
+++ b/include/oxbowmill/core/scheduler.h
@@ -65,7 +65,7 @@
 }
 
 /// A worker that is to report at once, by a command without orders whose token it has not seen.
-struct Ring {
+struct WakeUp {
   MachineIndex machine;
   std::uint64_t tenure = 0;
 };
@@ -126,10 +126,10 @@
   /// Machines that placement has looked at since the start.
   std::uint64_t visits() const;
   /// Sends a transaction off; the machines (or the job, below) are left alone until its outcome is known.
-  /// Once it is durable, the workers to ring hear of their new owner without waiting for their next report.
+  /// Once it is durable, the workers to wake hear of their new owner without waiting for their next report.
   /// `settled` is called once its outcome is known and stands in the tables.
   void queue(Effects& out, Urgency urgency, Transaction txn, const std::vector<MachineIndex>& machines,
-             std::vector<Ring> rings = {}, std::function<void()> settled = nullptr);
+             std::vector<WakeUp> wake_ups = {}, std::function<void()> settled = nullptr);
 
  private:
   struct Released {
@@ -144,7 +144,7 @@
     std::vector<MachineIndex> machines;
     std::vector<PlacedTask> planned;  // room and quota are taken while the outcome is open
     std::vector<Released> released;   // ended tasks that the worker may forget once this is durable
-    std::vector<Ring> rings;
+    std::vector<WakeUp> wake_ups;
     JobSpec spec;
     Stamp refused_at = 0;
     Seconds resend_at = 0;
@@ -154,7 +154,7 @@
   void queue_job(Effects& out, Urgency urgency, Transaction txn, JobIndex job,
                  std::vector<PlacedTask> planned, std::vector<Released> released);
   void direct_clears(const Pending& p, Effects& out);
-  void ring(const Pending& p, Stamp revision, Seconds now, Effects& out);
+  void wake(const Pending& p, Stamp revision, Seconds now, Effects& out);
   double arrival_s() const { return model_.settings.arrival_s(); }
   void settle(std::map<std::uint64_t, Pending>::iterator it, Seconds now, double back_off);
   void settle_pending(Seconds now, Effects& out);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -18,7 +18,7 @@
 constexpr double collect_from_share =
     0.15;  // of the changes a second, from which on an owner collects done marks
 constexpr double wait_told_after_s = 60, wait_told_every_s = 30;
-constexpr double ring_saves_s = 1;  // a worker is asked to report at once when that saves so much
+constexpr double wake_up_saves_s = 1;  // a worker is asked to report at once when that saves so much
 
 }  // namespace
 
@@ -46,12 +46,12 @@
 }
 
 void Scheduler::queue(Effects& out, Urgency urgency, Transaction txn,
-                      const std::vector<MachineIndex>& machines, std::vector<Ring> rings,
+                      const std::vector<MachineIndex>& machines, std::vector<WakeUp> wake_ups,
                       std::function<void()> settled) {
   for (MachineIndex m : machines) model_.edit_machine(m).writing = true;
   std::uint64_t id = ++next_write_;
   changes_ += static_cast<double>(txn.changes.size());
-  pending_[id] = {txn, urgency, JobIndex{}, machines,          {}, {}, std::move(rings), {},
+  pending_[id] = {txn, urgency, JobIndex{}, machines,          {}, {}, std::move(wake_ups), {},
                   0,   0,       false,      std::move(settled)};
   out.writes.push_back({id, urgency, std::move(txn)});
 }
@@ -75,7 +75,7 @@
   switch (outcome) {
     case Outcome::applied:
       direct_clears(p, later_);
-      ring(p, revision, now, later_);
+      wake(p, revision, now, later_);
       settle(it, now, 0);
       break;
     case Outcome::not_executed:
@@ -498,8 +498,8 @@
   }
 }
 
-void Scheduler::ring(const Pending& p, Stamp revision, Seconds now, Effects& out) {
-  for (const Ring& r : p.rings) {
+void Scheduler::wake(const Pending& p, Stamp revision, Seconds now, Effects& out) {
+  for (const WakeUp& r : p.wake_ups) {
     if (!model_.machine(r.machine).address.empty()) out.direct.push_back({r.machine, r.tenure, revision, {}});
   }
   const Settings& s = model_.settings;
@@ -510,8 +510,8 @@
     if (m.state != MachineState::ready || !owns(m.rec.part) || m.address.empty()) continue;
     // A worker counts a higher token as news once in half a lease; where it reports soon anyway, it need not.
     Seconds next_report = m.last_answered + s.report_s - now;
-    if (next_report < ring_saves_s) continue;
-    if (now - m.rung_at < s.lease_s / 2) {
+    if (next_report < wake_up_saves_s) continue;
+    if (now - m.woken_at < s.lease_s / 2) {
       // The clearing of an ended task makes it report as well.
       need_marks(mi);
       continue;
@@ -519,7 +519,7 @@
     // The transaction was guarded by our claim and the machine's record, so every later authority over the
     // machine has a higher token than this revision.
     m.placed_at = std::max(m.placed_at, revision);
-    m.rung_at = now;
+    m.woken_at = now;
     out.direct.push_back({mi, m.tenure, model_.token(m), {}});
   }
 }
--- a/src/lab/fleet_users.cpp
+++ b/src/lab/fleet_users.cpp
@@ -172,7 +172,7 @@
   return phase == JobPhase::open ? Told::open : phase == JobPhase::done ? Told::done : Told::cancelled;
 }
 
-Told FleetWorld::Impl::poll(Node& n, const std::string& ref) {
+Told FleetWorld::Impl::poll(Node& n, const std::string& ref) const {
   service::Enquiry e;
   auto known = n.finals.find(ref);
   return follow(n, ref, e,
--- a/src/lab/fleet_world_impl.h
+++ b/src/lab/fleet_world_impl.h
@@ -154,7 +154,7 @@
   Told follow(Node& n, const std::string& ref, service::Enquiry& e, service::EnquiryStep step,
               Json* value = nullptr, std::uint64_t* stamp = nullptr) const;
   static Told tell_user(Node& n, const std::string& ref, JobPhase phase);
-  Told poll(Node& n, const std::string& ref);
+  Told poll(Node& n, const std::string& ref) const;
   std::optional<State::Result> user_txn(const Node& n, const Json& body);
   Told submit(Node& n, const User& u);
   Told withdraw(Node& n, const User& u);
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -581,8 +581,8 @@
   EXPECT_EQ(late.model.job(late.model.find_job("run-1")).pending(), 0U);
 }
 
-TEST(Fencing, RungWorkerReportsUnderATokenThatEveryLaterOwnerExceeds) {
-  // Workers that report seldom are rung once their task's placement is durable. The ring's token is the
+TEST(Fencing, WokenWorkerReportsUnderATokenThatEveryLaterOwnerExceeds) {
+  // Workers that report seldom are woken once their task's placement is durable. The wake-up's token is the
   // placement's revision: above what the worker has seen, below any later owner's claim.
   Cluster c;
   c.node(0).model.settings.report_s = 5;
@@ -593,17 +593,17 @@
   c.node(0).pass(c.now);
   c.node(0).pass(c.now);
   ASSERT_EQ(c.node(0).direct.size(), 1U);
-  DirectOrders ring = c.node(0).direct.front();
-  EXPECT_TRUE(ring.orders.empty());
-  ASSERT_TRUE(c.worker("m1").command(ring));
+  DirectOrders wake_up = c.node(0).direct.front();
+  EXPECT_TRUE(wake_up.orders.empty());
+  ASSERT_TRUE(c.worker("m1").command(wake_up));
   ASSERT_EQ(c.exchange("m1", 0).orders.size(), 1U);
   c.kill_node(0);
   ASSERT_TRUE(c.node(1).claim(red, c.now));
   auto a = c.node(1).hear(c.worker("m1").report(c.now), c.now);
   EXPECT_EQ(a.kind, ReportAnswer::Kind::ok);
-  EXPECT_GT(a.token, ring.token);
+  EXPECT_GT(a.token, wake_up.token);
   c.worker("m1").answer(a, c.now);
-  EXPECT_FALSE(c.worker("m1").command(ring));  // a late ring is refused
+  EXPECT_FALSE(c.worker("m1").command(wake_up));  // a late wake-up is refused
 }
 
 TEST(Fencing, WorkerThatLeftItsOwnerIsToldFromOneThatHasYetToFindIt) {
--- a/tests/models_test.cpp
+++ b/tests/models_test.cpp
@@ -96,8 +96,8 @@
     auto it = c.state.keys().find("o/d/model/chat");
     return it == c.state.keys().end() ? nullptr : &it->second.value;
   }
-  std::string state() { return record() == nullptr ? "" : record()->at("s").get<std::string>(); }
-  std::uint64_t epoch() { return record() == nullptr ? 0 : record()->value("e", std::uint64_t{0}); }
+  std::string state() const { return record() == nullptr ? "" : record()->at("s").get<std::string>(); }
+  std::uint64_t epoch() const { return record() == nullptr ? 0 : record()->value("e", std::uint64_t{0}); }
   /// From outside: in a warming epoch at most one replica is placed, in cold none; and epochs only follow
   /// cold.
   void check() {
