--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -54,12 +54,12 @@
 
 }  // namespace
 
-Seconds spoils(const JobSpec& spec, const MachineType& type, const CandidateNode& b) {
+Seconds spoils(const JobSpec& spec, const MachineType& type, const CandidateNode& node) {
   if (how_many_fit(spec.need, type.room) <= 1) return 0;
-  bool whole = is_whole(b, type);
-  if (spec.shape == Shape::service) return b.lasting ? 0 : whole ? lasting_on_whole_s : lasting_on_mixed_s;
-  if (b.spot) return whole ? short_on_cheap_whole_s : 0;
-  return b.lasting ? short_on_lasting_s : whole ? short_on_whole_s : short_on_mixed_s;
+  bool whole = is_whole(node, type);
+  if (spec.shape == Shape::service) return node.lasting ? 0 : whole ? lasting_on_whole_s : lasting_on_mixed_s;
+  if (node.spot) return whole ? short_on_cheap_whole_s : 0;
+  return node.lasting ? short_on_lasting_s : whole ? short_on_whole_s : short_on_mixed_s;
 }
 
 void see_as(const JobSpec& spec, const Model& model, std::vector<CandidateNode>& bins, bool pressed) {
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -16,8 +16,8 @@
     sockaddr_in a{};
     a.sin_family = AF_INET;
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a);
-    ::listen(fd_, 16);
+    EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+    EXPECT_EQ(::listen(fd_, 16), 0);
     socklen_t n = sizeof a;
     ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &n);
     port = ntohs(a.sin_port);
