--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -73,7 +73,11 @@
     nodes.push_back(f.node);
     nodes.back().room = f.coming;
   }
-  for (MachineIndex mi : preempting ? capacity.preemptible() : std::set<MachineIndex>{}) {
+  if (!preempting) {
+    see_as(j.spec, model_, nodes);
+    return nodes;
+  }
+  for (MachineIndex mi : capacity.preemptible()) {
     const MachineCapacity& offer = *capacity.find(mi);
     if (offer.lowest_rank >= j.spec.rank || !lacks_room(mi)) continue;
     if (fits(need, offer.node.room + offer.leaving)) continue;
--- a/src/lab/scale_judge.cpp
+++ b/src/lab/scale_judge.cpp
@@ -21,7 +21,7 @@
       rules_(settings.cancel_s, std::vector<double>(settings.teams, settings.team_gpus)),
       waits_(settings.classes.size()) {
   rules_.quiet_from(began + settings.quiet_from_s());
-  // What an order on its way may take: a report's time-out.
+  // The protocol's own bound, for tasks that run on and for starts alike.
   rules_.starts_end_within(settings.cancel_s);
 }
 
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -11,6 +11,7 @@
 #include "oxbowmill/lab/market_server.h"
 #include "oxbowmill/lab/state.h"
 #include "oxbowmill/lab/worker.h"
+#include "oxbowmill/lab/worker_wire.h"
 #include "oxbowmill/net/http.h"
 #include "oxbowmill/wire/codec.h"
 
@@ -142,43 +143,18 @@
     r.responder->reply(200, wire::encode(out));
   }
 
-  Json report_json(const WorkerReport& r) {
-    static const char* phases[] = {"fetching", "gathering", "running", "saving", "ended"};
-    Json tasks = Json::array();
-    for (const TaskReport& t : r.tasks) {
-      Json j = {{"shard", t.job + "/" + std::to_string(t.task)},
-                {"try", t.attempt},
-                {"phase", phases[static_cast<int>(t.phase)]}};
-      if (t.phase == TaskPhase::ended) j["cause"] = name_of(t.cause);
-      tasks.push_back(j);
-    }
-    return {{"host", r.machine},   {"address", r.address}, {"rig", r.type},      {"yard", r.zone},
-            {"loaners", r.spot},   {"tenure", r.tenure},   {"serial", r.serial}, {"warrant", r.token},
-            {"recall_s", nullptr}, {"shards", tasks}};
-  }
-
   /// The worker's side of one report, while the machine is rented.
   void report() {
     if (!up_ || reporting_) return;
     reporting_ = true;
-    request(EVHTTP_REQ_POST, "/hello", report_json(worker_.report(now())), [this](int status, const Json& j) {
-      reporting_ = false;
-      if (status != 200) return;
-      ReportAnswer a;
-      a.kind = ReportAnswer::Kind::ok;
-      a.token = j.at("warrant").get<Stamp>();
-      for (const Json& o : j.at("orders")) {
-        std::string shard = o.at("shard").get<std::string>(), verb = o.at("verb").get<std::string>();
-        std::size_t slash = shard.rfind('/');
-        a.orders.push_back({verb == "start"  ? OrderVerb::start
-                            : verb == "kill" ? OrderVerb::kill
-                                             : OrderVerb::clear,
-                            shard.substr(0, slash),
-                            static_cast<TaskNo>(std::strtoul(shard.c_str() + slash + 1, nullptr, 10)),
-                            o.at("try").get<Attempt>(), o.value("wind_down_s", 0.0)});
-      }
-      worker_.answer(a, now());
-    });
+    request(EVHTTP_REQ_POST, "/hello", lab::write_report(worker_.report(now())),
+            [this](int status, const Json& body) {
+              reporting_ = false;
+              if (status != 200) return;
+              auto answer = lab::read_answer(body);
+              ASSERT_TRUE(answer.has_value());
+              worker_.answer(*answer, now());
+            });
   }
 
   void request(evhttp_cmd_type method, const std::string& path, const Json& body,
