--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -36,6 +36,7 @@
 
 RESTART_DELAY_S = 5.0  # BRIEF: "back about 5 s after an end"
 LONGEST_RUN_S = 110
+MEMORY_LIMIT_MB = 56.0
 
 
 def _end_with_parent():
@@ -66,6 +67,7 @@
         self.machines = machines
         self.jobs, self.events, self.processes, self.run_times = {}, [], {}, {}
         self.nodes, self.last_ref, self.background = {}, 0, []
+        self.teams = [("translators", 64, 184), ("typesetters", 64, 184)]
 
     def record(self, text):
         self.file.write("%8.3f %s\n" % (time.monotonic() - self.began, text))
@@ -80,7 +82,7 @@
 
     async def __aenter__(self):
         self.folder = tempfile.TemporaryDirectory(prefix="oxbowmill-review-")
-        self.state = StateService(value_kb=8, txn_ops=48)
+        self.state = StateService(value_kb=8, txn_ops=48, rps=200, write_rps=80)
         self.state_port = await self.state.start()
         self.cloud = Cloud(self, [RIG], self.machines, 2.0)
         self.cloud_port = await self.cloud.start()
@@ -114,15 +116,15 @@
         lines += ['state = "127.0.0.1:%d"' % self.state_ports[name]]
         lines += ["[settings]", "initial_size = 3", "zones = [%s]" % ", ".join('"%s"' % z for z in ZONES)]
         lines += ["skew_ms = 1000.0"]
-        for team in ("translators", "typesetters"):
+        for team, guaranteed, most in self.teams:
             lines += ["[[settings.teams]]", 'name = "%s"' % team, "cpus = 0.0", "cpus_max = 0.0"]
-            lines += ["gpus = 64.0", "gpus_max = 184.0"]
+            lines += ["gpus = %.1f" % guaranteed, "gpus_max = %.1f" % most]
         lines += ["[settings.workers]", "report_s = %.1f" % self.timing["report_s"]]
         lines += ["lease_s = %.1f" % self.timing["lease_s"], "gang_wait_s = 30.0", "gang_peer_s = 8.0"]
         lines += ["cancel_s = %.1f" % self.timing["cancel_s"]]
         lines += ["[settings.state]", "rps = 200.0", "write_rps = 80.0", "value_kb = 8.0", "txn_ops = 48"]
         lines += ["[settings.cloud]", "rps = 6.0", "list_lag_s = 4.0"]
-        lines += ["[settings.limits]", "core_share = 0.12", "mem_mb = 56.0", "fd_limit = 900"]
+        lines += ["[settings.limits]", "core_share = 0.12", "mem_mb = %.1f" % MEMORY_LIMIT_MB, "fd_limit = 900"]
         return "\n".join(lines) + "\n"
 
     def start(self, name):
@@ -178,6 +180,21 @@
         self.processes[name].send_signal(number)
         self.record("controller %s: sent %s" % (name, signal.Signals(number).name))
 
+    def memory_mb(self, name):
+        """Private memory that the process holds, without its program and libraries."""
+        with open("/proc/%d/status" % self.processes[name].pid, encoding="ascii") as status:
+            for line in status:
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
+    def owners(self):
+        """The owner of each partition, by the state service."""
+        prefix = "o/p/"
+        return {
+            key[len(prefix) :]: entry[0].get("node") for key, entry in self.state.keys.items() if key.startswith(prefix)
+        }
+
     def end(self, name):
         process = self.processes.pop(name)
         if process.poll() is None:
@@ -265,13 +282,13 @@
     return names
 
 
-def main(folder, case):
+def main(folder, case, machines=6):
     """Runs `case(deployment, trouble)`, which returns what broke the rule, or an empty text; exits accordingly."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = os.path.join(folder, "record.txt")
 
     async def run():
-        async with Deployment(record) as deployment:
+        async with Deployment(record, machines) as deployment:
             deployment.record("trouble: " + ("yes" if trouble else "no"))
             try:
                 broken = await asyncio.wait_for(case(deployment, trouble), LONGEST_RUN_S)
--- a/review/common/state_service.py
+++ b/review/common/state_service.py
@@ -11,8 +11,25 @@
 LOG_SIZE = 10000
 
 
+class Rate:
+    """Allows `per_s` a second, in bursts of one second's worth."""
+
+    def __init__(self, per_s):
+        self.per_s, self.left, self.at = per_s, per_s, time.monotonic()
+
+    def take(self, count):
+        now = time.monotonic()
+        self.left = min(self.per_s, self.left + (now - self.at) * self.per_s)
+        self.at = now
+        if self.left < count:
+            return False
+        self.left -= count
+        return True
+
+
 class StateService:
-    def __init__(self, value_kb, txn_ops):
+    def __init__(self, value_kb, txn_ops, rps, write_rps):
+        self.requests, self.changes = Rate(rps), Rate(write_rps)
         self.value_bytes, self.txn_ops = value_kb * 1024, txn_ops
         self.keys = {}  # key: [value, stamp, grant]
         self.revision = 1
@@ -60,6 +77,8 @@
 
     def txn(self, body):
         operations, guards = body["apply"], body.get("guards", [])
+        if not self.changes.take(len(operations)):
+            return 429, {}
         if len(operations) > self.txn_ops or len(guards) > 4 * self.txn_ops:
             return 400, {"error": "too large"}
         for operation in operations:
@@ -121,6 +140,8 @@
 
     async def handle(self, method, path, query, body):
         self.expire()
+        if not self.requests.take(1):
+            return 429, cbor.encode({})
         if path == "/watch":
             status, answer = await self.watch(query)
         elif path == "/store":
