Review: the scripts tell a fault of the case from a broken rule

Cause: an exception of Python ends with status 1, which would read as a broken rule; a task without a reference may be collected by Python.

Change: the cases end with 10 for a broken rule, run.sh turns that into 1 and anything unexpected into 2; the deploy file is read without the TOML module; the cloud's stand-in keeps its tasks.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
 python3 -c '
-import ast, glob, sys, tomllib
+import ast, glob, sys
 for name in sorted(glob.glob("common/*.py") + glob.glob("[0-9]/*.py")):
     ast.parse(open(name, encoding="utf-8").read(), name)
 print("stand-ins: ready, Python", sys.version.split()[0])
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,13 +3,13 @@
 import asyncio
 import ctypes
 import os
-import random
+import re
 import signal
 import socket
 import subprocess
 import tempfile
 import time
-import tomllib
+import traceback
 
 import cbor
 import http_io
@@ -43,6 +43,9 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2  # exit statuses; run.sh turns BROKEN into 1, and any other into 2
+
+
 class CannotRun(Exception):
     """The case could not be carried out; this is no verdict on the rule."""
 
@@ -132,8 +135,8 @@
         path = os.path.join(self.folder.name, name + ".toml")
         with open(path, "w", encoding="utf-8") as out:
             out.write(self.settings(index))
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as deploy:
-            command = tomllib.load(deploy)["run"].split() + [path]
+        with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as deploy:
+            command = re.search(r'^run = "(.*)"$', deploy.read(), re.MULTILINE).group(1).split() + [path]
         if not os.access(os.path.join(ROOT, command[0]), os.X_OK):
             raise CannotRun(command[0] + " is not built")
         log = open(os.path.join(self.folder.name, name + ".log"), "a", encoding="utf-8")
@@ -276,12 +279,6 @@
         await self.wait_for("%s to be %s" % (ref, phase), within_s, reached)
 
 
-def other_names(name):
-    names = [each for each in NAMES if each != name]
-    random.shuffle(names)
-    return names
-
-
 def main(folder, case, machines=6):
     """Runs `case(deployment, trouble)`, which returns what broke the rule, or an empty text; exits accordingly."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -299,10 +296,11 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, KeyError) as error:
+    except Exception as error:  # a fault of the case itself is no verdict on the rule
         with open(record, "a", encoding="utf-8") as out:
             out.write("could not run: %r\n" % error)
+            traceback.print_exc(file=out)
         print("could not run: %r" % error)
-        raise SystemExit(2) from None
+        raise SystemExit(COULD_NOT_RUN) from None
     print("broken: " + broken if broken else "held")
-    raise SystemExit(1 if broken else 0)
+    raise SystemExit(BROKEN if broken else HELD)
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -203,7 +203,7 @@
 
     def __init__(self, world, catalog, capacity, boot_s):
         self.world, self.catalog, self.capacity, self.boot_s = world, catalog, capacity, boot_s
-        self.hires, self.machines, self.count = {}, {}, 0
+        self.hires, self.machines, self.count, self.boots = {}, {}, 0, []
 
     async def start(self):
         self.server = await http_io.serve(self.handle)
@@ -228,7 +228,7 @@
             hosts.append(host)
             worker = Worker(self.world, host, order["rig"], order["yard"], order["loaners"])
             self.machines[host] = {"worker": worker, "phase": "starting", "at": time.monotonic(), "order": order}
-            asyncio.ensure_future(self.boot(host))
+            self.boots.append(asyncio.ensure_future(self.boot(host)))
         self.hires[order["hire"]] = hosts
         self.world.record("cloud: rented %s for %s" % (", ".join(hosts), order["hire"]))
         return hosts
