Review: each script names its record, and ports stay clear of outgoing ones

Cause: the record was written by the common part alone, so the folder of a case did not show it, and a case that could not start left an old one. A controller's port could be taken by an outgoing connection while the controller is restarted.

The ports lie below those for outgoing connections.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,4 +20,4 @@
 
 
 if __name__ == "__main__":
-    deployment.main(HERE, case)
+    deployment.main(os.path.join(HERE, "record.txt"), case)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import ctypes
 import os
+import random
 import re
 import signal
 import socket
@@ -51,9 +52,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
+    """Free ports below those that the system gives to outgoing connections, so that none takes them in a restart."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as limits:
+        lowest = int(limits.read().split()[0])
+    sockets = []
+    while len(sockets) < count:
+        each = socket.socket()
+        try:
+            each.bind(("127.0.0.1", random.randrange(11000, lowest) if lowest > 12000 else 0))
+            sockets.append(each)
+        except OSError:
+            each.close()
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
@@ -279,10 +288,12 @@
         await self.wait_for("%s to be %s" % (ref, phase), within_s, reached)
 
 
-def main(folder, case, machines=6):
-    """Runs `case(deployment, trouble)`, which returns what broke the rule, or an empty text; exits accordingly."""
+def main(record, case, machines=6):
+    """Runs `case(deployment, trouble)`, which returns what broke the rule, or an empty text; exits accordingly.
+
+    `record` is the file for what was sent, answered and run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = os.path.join(folder, "record.txt")
 
     async def run():
         async with Deployment(record, machines) as deployment:
