Bodies with a text that is not UTF-8 are refused and end no controller

Cause: texts in CBOR bodies were not checked, and JSON text that is made of them throws (type_error 316), which nothing catches in the event loop. It is made to measure records and for log lines, debug lines included.

Change: wire::decode_map decodes every body from outside (users, agents, controllers' relays, cloud, markets, state service, client, stand-ins) and refuses one with a text or a field name that is not UTF-8, with the field as reason. Values in the state service are checked one by one, so that a bad one hides no other. yaml::load refuses such a file with the line, so YAML in UTF-16 is refused too. What leaves as JSON text goes through wire::to_json_text, which does not throw. Refused bodies have a log line with sender and reason; submissions, controllers' updates, the catalog and markets' answers had none.

No catch around the event loop was added: a half processed transaction or report would go unnoticed.

--- a/app/oxbowctl.cpp
+++ b/app/oxbowctl.cpp
@@ -123,7 +123,7 @@
       json["error"] = reply.reason;
       json["again"] = client::is_retryable(reply.outcome);
     }
-    std::cout << json.dump() << std::endl;
+    std::cout << wire::to_json_text(json) << std::endl;
   } else if (reply.outcome == RequestOutcome::ok) {
     std::cout << reply.status.ref << " " << reply.status.phase << " done " << reply.status.done_tasks
               << " running " << reply.status.running_tasks << std::endl;
@@ -231,6 +231,7 @@
   for (const char* key : {"ref", "owner"}) {
     if (!job.contains(key)) throw ArgumentError(key, "missing");
   }
+  if (auto invalid_text = wire::find_invalid_text(job)) throw ArgumentError(*invalid_text);
   return job;
 }
 
--- a/include/oxbowmill/market/calls.h
+++ b/include/oxbowmill/market/calls.h
@@ -98,6 +98,7 @@
 /// A market's answer to a call. The comment of a field names the kinds of calls that it belongs to.
 struct Answer {
   AnswerKind kind = AnswerKind::no_answer;  ///< outcome of the call
+  std::string error;                        ///< malformed: what is wrong with the answer
   double retry_after_s = 0;                 ///< throttled: requested pause, in seconds
   std::vector<QuoteUpdate> quotes;          ///< quotes: all plausible quotes
   std::uint32_t implausible_quotes = 0;     ///< quotes: number of implausible quotes that were dropped
--- a/include/oxbowmill/net/http_server.h
+++ b/include/oxbowmill/net/http_server.h
@@ -59,6 +59,7 @@
   std::string path;                         ///< path without the query
   std::string query;                        ///< query without the question mark; empty: no query
   std::string body;                         ///< empty: no body
+  std::string peer_host;                    ///< IP address of the peer, for log lines
   ResponderPtr responder;                   ///< sends the answer
 };
 
@@ -82,6 +83,7 @@
 
  private:
   static void on_request(evhttp_request* raw_request, void* self);
+  static std::string peer_host_of(evhttp_connection* connection);
   static void on_close(evhttp_connection* connection, void* self);
   Responder::AfterReply before_reply(evhttp_connection* connection);
   Handler handler_;
--- a/include/oxbowmill/service/cloud_client.h
+++ b/include/oxbowmill/service/cloud_client.h
@@ -44,6 +44,7 @@
   void request_page(const std::string& last_name, const MachineList& machines);
   void on_page(const net::Response& http_response, const MachineList& machines);
 
+  void log_malformed(const char* kind, const wire::DecodedMap& body);
   const ClusterState& state_;
   Autoscaler& autoscaler_;
   MalformedMessageLog& malformed_messages_;
--- a/include/oxbowmill/service/controller.h
+++ b/include/oxbowmill/service/controller.h
@@ -45,11 +45,11 @@
   Autoscaler autoscaler_;
   state::Store store_;
   StateReplica replica_;
+  MalformedMessageLog malformed_messages_;
   SubmissionService submission_service_;
   std::unique_ptr<reconciliation::Reconciler> reconciler_;  // null if reconciliation is off
   DecisionService decision_service_;
   std::unique_ptr<MarketService> market_service_;  // null if no markets are configured
-  MalformedMessageLog malformed_messages_;
   CloudClient cloud_client_;
   CatalogUpdater catalog_updater_;
   LeaseKeeper lease_keeper_;
--- a/include/oxbowmill/service/malformed_message_log.h
+++ b/include/oxbowmill/service/malformed_message_log.h
@@ -4,17 +4,29 @@
 #include <set>
 #include <string>
 
+#include "oxbowmill/wire/cbor.h"
+
 namespace oxbowmill::service {
 
-/// Logs at most one line for each kind of message and sender.
+/// A message that was refused.
+struct MalformedMessage {
+  std::string kind;    ///< what the message was to be, such as "report"; without spaces
+  std::string sender;  ///< name or address of who sent it
+  std::string reason;  ///< what is wrong with it
+};
+
+/// Logs at most one line for each kind of message, sender and reason.
 class MalformedMessageLog {
  public:
-  /// Logs that a message of this kind from this sender was malformed, unless that has been logged before.
-  /// Stops logging after a fixed number of lines.
-  void record(const std::string& kind, const std::string& sender);
+  /// Logs the message, unless an equal one has been logged before. Stops logging after a fixed number of
+  /// lines.
+  void record(const MalformedMessage& message);
 
  private:
   std::set<std::string> logged_;
 };
 
+/// The text in a field that names the sender, or `otherwise` if there is no body or no such name.
+std::string sender_in(const wire::DecodedMap& body, const char* field, const std::string& otherwise);
+
 }  // namespace oxbowmill::service
--- a/include/oxbowmill/service/market_service.h
+++ b/include/oxbowmill/service/market_service.h
@@ -6,6 +6,7 @@
 #include "oxbowmill/autoscaling/autoscaler.h"
 #include "oxbowmill/market/bidding_service.h"
 #include "oxbowmill/net/http.h"
+#include "oxbowmill/service/malformed_message_log.h"
 
 namespace oxbowmill::service {
 
@@ -17,7 +18,8 @@
   /// and `wall_clock` the time of day, both in seconds. Must outlive the autoscaler's use of it, and must not
   /// be destroyed while the event loop runs.
   MarketService(event_base* base, ClusterState& state, Scheduler& scheduler, Autoscaler& autoscaler,
-                market::Settings settings, std::function<double()> clock, std::function<double()> wall_clock);
+                market::Settings settings, MalformedMessageLog& malformed_messages,
+                std::function<double()> clock, std::function<double()> wall_clock);
   /// Times out calls that are past their deadline, runs the bidding service and sends its calls.
   void run_cycle(Effects& out);
 
@@ -35,6 +37,7 @@
   ClusterState& state_;
   market::Settings settings_;
   market::BiddingService bidding_service_;
+  MalformedMessageLog& malformed_messages_;
   std::function<double()> clock_, wall_clock_;
   std::vector<std::unique_ptr<net::HttpClient>> clients_;  // by market index
   std::map<std::uint64_t, PendingCall> pending_calls_;
--- a/include/oxbowmill/service/peers.h
+++ b/include/oxbowmill/service/peers.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "oxbowmill/config/config.h"
+#include "oxbowmill/service/malformed_message_log.h"
 
 namespace oxbowmill::service {
 
@@ -51,8 +52,8 @@
  public:
   /// `now` returns the steady time in seconds, and `make_update` this controller's current status. Throws if
   /// the port for controllers cannot be bound.
-  Peers(event_base* base, const config::Config& config, std::function<double()> now,
-        std::function<PeerUpdate()> make_update);
+  Peers(event_base* base, const config::Config& config, MalformedMessageLog& malformed_messages,
+        std::function<double()> now, std::function<PeerUpdate()> make_update);
   /// Publishes this controller's status within milliseconds. Calls until then have no further effect.
   void publish_soon();
   /// Whether a peer has recently published that the state service responds to it.
@@ -82,6 +83,7 @@
   void publish();
   bool is_current(const PeerStatus& status) const;
 
+  MalformedMessageLog& malformed_messages_;
   std::function<double()> clock_;
   std::function<PeerUpdate()> make_update_;
   std::map<std::string, PeerStatus> peer_status_;
--- a/include/oxbowmill/service/submission_service.h
+++ b/include/oxbowmill/service/submission_service.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "oxbowmill/service/admission.h"
+#include "oxbowmill/service/malformed_message_log.h"
 #include "oxbowmill/service/state_replica.h"
 #include "oxbowmill/service/status_query.h"
 
@@ -27,8 +28,12 @@
 class SubmissionService {
  public:
   /// `wall_clock` returns the time of day in seconds. The store must not call back after destruction.
-  SubmissionService(state::Store& store, ClusterState& state, std::function<double()> wall_clock)
-      : store_(store), state_(state), wall_clock_(std::move(wall_clock)) {}
+  SubmissionService(state::Store& store, ClusterState& state, MalformedMessageLog& malformed_messages,
+                    std::function<double()> wall_clock)
+      : store_(store),
+        state_(state),
+        malformed_messages_(malformed_messages),
+        wall_clock_(std::move(wall_clock)) {}
 
   /// Accepts the submitted job, or answers why it is rejected.
   void submit(const net::Request& request);
@@ -69,10 +74,13 @@
   void commit_withdrawal(const PendingQuery& pending, const net::ResponderPtr& responder, int attempt);
   void reply_status(const std::string& ref, JobPhase phase, const net::ResponderPtr& responder);
   void reply_withdrawn(const std::string& ref, JobPhase phase, const net::ResponderPtr& responder);
+  /// Logs a submission that is refused as malformed (400), and answers why.
+  void refuse_malformed(const net::Request& request, const wire::DecodedMap& body, const std::string& reason);
   bool is_overloaded() const;
 
   state::Store& store_;
   ClusterState& state_;
+  MalformedMessageLog& malformed_messages_;
   std::function<double()> wall_clock_;
   FinalPhaseCache final_phases_;
   FirstAttempts first_attempts_;
--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -1,7 +1,9 @@
-// Encodes and decodes message bodies, which are CBOR maps. Stateless.
+// Encodes and decodes message bodies, which are CBOR maps. Every body from outside the program is decoded
+// here. Stateless.
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -11,14 +13,59 @@
 /// Content of a message body.
 using Json = nlohmann::json;
 
-/// Size limit of a received body, in bytes. Bodies from markets have a limit of their own.
+/// Size limit of a received body, in bytes. Bodies from markets, the cloud's list of machines and answers of
+/// the state service have limits of their own.
 constexpr std::size_t max_body_size = std::size_t{64} * 1024;
 
-/// Decodes a body; empty if it is not CBOR, has trailing bytes, is too large or is not a map.
-std::optional<Json> decode_map(const std::string& body);
+/// Who checks that the texts in a body are UTF-8.
+enum class TextCheck : std::uint8_t {
+  whole_body,  ///< the decoder: one invalid text makes the whole body invalid
+  by_caller,   ///< the caller, with find_invalid_text, so that the other values in the body stay readable
+};
+
+/// What is accepted as a body.
+struct BodyRules {
+  std::size_t max_size = max_body_size;          ///< in bytes
+  TextCheck text_check = TextCheck::whole_body;  ///< who checks the texts
+};
+/// For `max_size`: the HTTP client or the protocol limits the body.
+constexpr std::size_t no_size_limit = std::numeric_limits<std::size_t>::max();
+
+/// Content of a received body, or the reason why it cannot be used.
+class DecodedMap {
+ public:
+  /// The content; must be a map.
+  explicit DecodedMap(Json map) : map_(std::move(map)) {}
+  /// A body that cannot be used. `reason` is for logs and answers.
+  static DecodedMap invalid(std::string reason);
+  /// Whether there is content.
+  explicit operator bool() const { return map_.has_value(); }
+  const Json& operator*() const { return *map_; }
+  Json& operator*() { return *map_; }
+  const Json* operator->() const { return &*map_; }
+  /// What is wrong with the body; empty if there is content.
+  const std::string& error() const { return error_; }
+
+ private:
+  DecodedMap() = default;
+  std::optional<Json> map_;
+  std::string error_;
+};
+
+/// Decodes a body. It has no content if it is not CBOR, has trailing bytes, is too large, is not a map or
+/// holds a text that is not UTF-8.
+DecodedMap decode_map(const std::string& body, const BodyRules& rules = {});
 /// Encodes a body as CBOR.
 std::string encode(const Json& json);
 
+/// Looks for a text that is not UTF-8, among the names of fields too. Returns what is wrong, with the field
+/// of the map that holds the text; empty if there is none.
+std::optional<std::string> find_invalid_text(const Json& map);
+
+/// Content as JSON text, for log lines and for the sizes of values. Bytes that are not UTF-8 become U+FFFD,
+/// so that it does not throw.
+std::string to_json_text(const Json& json);
+
 /// Whether a name from outside is valid: 1 to 120 characters, each a letter, a digit, '-', '_' or '.'.
 bool valid_id(const std::string& text);
 
--- a/include/oxbowmill/wire/cloud_codec.h
+++ b/include/oxbowmill/wire/cloud_codec.h
@@ -19,6 +19,8 @@
   std::vector<std::string> zones;  ///< names of zones, which need not be configured here
 };
 
+/// Whether the body of a refusal says that the cloud has no machines of the requested kind.
+bool is_no_capacity(const Json& json);
 /// Decodes the catalog of machine types. A catalog without types is malformed.
 std::optional<std::vector<CatalogEntry>> read_catalog(const Json& json);
 /// Encodes a catalog such that `read_catalog` returns it.
--- a/include/oxbowmill/yaml/map.h
+++ b/include/oxbowmill/yaml/map.h
@@ -35,7 +35,7 @@
   std::string file_, key_, reason_;
 };
 
-/// Loads a file. Throws Error if it cannot be read or is not valid YAML.
+/// Loads a file. Throws Error if it cannot be opened, is not UTF-8 or is not valid YAML.
 YAML::Node load(const std::string& file);
 
 /// A map in a file, with the keys that have not been read yet. All readers throw Error.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -73,6 +73,13 @@
   server->pending_responders_.erase(it);
 }
 
+std::string HttpServer::peer_host_of(evhttp_connection* connection) {
+  char* host = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(connection, &host, &port);
+  return host != nullptr ? host : "";
+}
+
 Responder::AfterReply HttpServer::before_reply(evhttp_connection* connection) {
   pending_responders_.erase(connection);
   evhttp_connection_set_closecb(connection, nullptr, nullptr);
@@ -94,6 +101,7 @@
   request.responder = std::make_shared<Responder>(
       raw_request, [server](evhttp_connection* connection) { return server->before_reply(connection); });
   evhttp_connection* connection = evhttp_request_get_connection(raw_request);
+  request.peer_host = peer_host_of(connection);
   server->pending_responders_[connection] = request.responder.get();
   evhttp_connection_set_closecb(connection, &HttpServer::on_close, server);
   server->handler_(std::move(request));
--- a/src/service/admission.cpp
+++ b/src/service/admission.cpp
@@ -40,7 +40,7 @@
   if (admission.rejection) return admission;
   admission.spec.submitted_at = submitted_at;
   admission.record = state::job_value(admission.spec, JobPhase::open, names);
-  if (static_cast<double>(admission.record.dump().size()) > settings.max_value_kb * bytes_per_kb)
+  if (static_cast<double>(wire::to_json_text(admission.record).size()) > settings.max_value_kb * bytes_per_kb)
     admission.rejection = wire::Rejection{bad_request_status, "too large"};
   return admission;
 }
--- a/src/service/cloud_client.cpp
+++ b/src/service/cloud_client.cpp
@@ -63,12 +63,16 @@
     if (auto machines = wire::read_granted_machines(*body))
       return autoscaler_.on_scale_out_result(request_id, true, *machines, clock_());
   }
-  if (http_response.status == 200) malformed_messages_.record("scale-out response", cloud_sender);
-  bool no_capacity = http_response.status == 503 && body && body->value("error", Json()) == "no capacity";
+  if (http_response.status == 200) log_malformed("scale_out_response", body);
+  bool no_capacity = http_response.status == 503 && body && wire::is_no_capacity(*body);
   bool is_refused = no_capacity || http_response.status == 400;
   autoscaler_.on_scale_out_result(request_id, is_refused, {}, clock_());
 }
 
+void CloudClient::log_malformed(const char* kind, const wire::DecodedMap& body) {
+  malformed_messages_.record({kind, cloud_sender, body ? "a field is missing or invalid" : body.error()});
+}
+
 void CloudClient::delete_machines(const std::vector<MachineIndex>& machines) {
   enqueue(CallPriority::background, [this, machines] { send_delete(machines); });
 }
@@ -96,11 +100,12 @@
 }
 
 void CloudClient::on_page(const net::Response& http_response, const MachineList& machines) {
-  // decode_map would reject pages that are larger than the bodies that users and agents may send.
-  auto body = http_response.status == 200 ? Json::from_cbor(http_response.body, true, false) : Json();
-  auto page = body.is_object() ? wire::read_machine_list(body) : std::nullopt;
+  if (http_response.status != 200) return autoscaler_.on_list_failed();
+  // Pages may be larger than the bodies that users and agents may send.
+  auto body = wire::decode_map(http_response.body, {wire::no_size_limit});
+  auto page = body ? wire::read_machine_list(*body) : std::nullopt;
   if (!page) {
-    if (http_response.status == 200) malformed_messages_.record("machine list", cloud_sender);
+    log_malformed("machine_list", body);
     return autoscaler_.on_list_failed();
   }
   machines->insert(machines->end(), page->machines.begin(), page->machines.end());
@@ -114,11 +119,13 @@
 
 void CloudClient::fetch_catalog(std::function<void(const Json&)> on_catalog) {
   enqueue(CallPriority::urgent, [this, on_catalog = std::move(on_catalog)] {
-    http_client_.send(
-        EVHTTP_REQ_GET, "/catalog", "", catalog_timeout_s, [on_catalog](const net::Response& http_response) {
-          auto body = http_response.status == 200 ? wire::decode_map(http_response.body) : std::nullopt;
-          if (body) on_catalog(*body);
-        });
+    http_client_.send(EVHTTP_REQ_GET, "/catalog", "", catalog_timeout_s,
+                      [this, on_catalog](const net::Response& http_response) {
+                        if (http_response.status != 200) return;
+                        auto body = wire::decode_map(http_response.body);
+                        if (!body) return log_malformed("catalog", body);
+                        on_catalog(*body);
+                      });
   });
 }
 
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -36,7 +36,7 @@
       autoscaler_(state_, scheduler_),
       store_(base, config_.state_service, state_.settings, &Controller::now),
       replica_(base, store_, state_, scheduler_, lease_, &Controller::now),
-      submission_service_(store_, state_, &Controller::wall_time),
+      submission_service_(store_, state_, malformed_messages_, &Controller::wall_time),
       reconciler_(make_reconciler(config_, state_, scheduler_)),
       decision_service_(state_, scheduler_, store_, config_, &Controller::now),
       cloud_client_(base, config_.cloud, state_, autoscaler_, malformed_messages_, &Controller::now),
@@ -47,15 +47,17 @@
                      &Controller::now),
       peer_status_exchange_(state_, scheduler_, store_, reconciler_.get(), &Controller::now),
       tick_timer_(base, [this] { tick(); }),
-      peers_(base, config_, &Controller::now, [this] { return peer_status_exchange_.make_update(); }),
+      peers_(base, config_, malformed_messages_, &Controller::now,
+             [this] { return peer_status_exchange_.make_update(); }),
       report_relay_(peers_, &Controller::now),
       report_handler_(replica_, lease_, scheduler_, reconciler_.get(), report_relay_, malformed_messages_,
                       &Controller::clock),
       request_router_(submission_service_, report_handler_, [this] { return is_ready(); }) {
   connect_parts();
   if (config_.markets.enabled())
-    market_service_ = std::make_unique<MarketService>(base, state_, scheduler_, autoscaler_, config_.markets,
-                                                      &Controller::now, &Controller::wall_time);
+    market_service_ =
+        std::make_unique<MarketService>(base, state_, scheduler_, autoscaler_, config_.markets,
+                                        malformed_messages_, &Controller::now, &Controller::wall_time);
   server_ = std::make_unique<net::HttpServer>(
       base, config_.bind, wire::max_body_size,
       [this](net::Request&& request) { request_router_.on_request(request); });
--- a/src/service/effect_sender.cpp
+++ b/src/service/effect_sender.cpp
@@ -68,10 +68,10 @@
     case 200:
       return TransactionOutcome::applied;
     case 409:
-      SPDLOG_DEBUG("transaction refused id={} response={}", id, response.body.dump());
+      SPDLOG_DEBUG("transaction refused id={} response={}", id, wire::to_json_text(response.body));
       return TransactionOutcome::refused;
     case 400:
-      SPDLOG_ERROR("transaction malformed id={} response={}", id, response.body.dump());
+      SPDLOG_ERROR("transaction malformed id={} response={}", id, wire::to_json_text(response.body));
       return TransactionOutcome::not_executed;
     case 429:
     case 503:
--- a/src/service/malformed_message_log.cpp
+++ b/src/service/malformed_message_log.cpp
@@ -5,12 +5,23 @@
 namespace oxbowmill::service {
 
 namespace {
-constexpr std::size_t max_logged = 1000;  // bounds the memory that arbitrary sender names take
+constexpr std::size_t max_logged = 1000;        // bounds the memory that arbitrary sender names take
+constexpr std::size_t max_sender_length = 120;  // bytes
 }  // namespace
 
-void MalformedMessageLog::record(const std::string& kind, const std::string& sender) {
-  if (logged_.size() < max_logged && logged_.insert(kind + " from " + sender).second)
-    SPDLOG_ERROR("malformed message kind={} sender={}", kind, sender);
+void MalformedMessageLog::record(const MalformedMessage& message) {
+  // As JSON, because a sender or the name of a field may hold line breaks.
+  std::string sender = wire::to_json_text(message.sender), reason = wire::to_json_text(message.reason);
+  if (logged_.size() < max_logged && logged_.insert(message.kind + sender + reason).second)
+    SPDLOG_ERROR("malformed message kind={} sender={} reason={}", message.kind, sender, reason);
+}
+
+std::string sender_in(const wire::DecodedMap& body, const char* field, const std::string& otherwise) {
+  if (!body) return otherwise;
+  auto sender = body->find(field);
+  bool is_name = sender != body->end() && sender->is_string() &&
+                 sender->get_ref<const std::string&>().size() <= max_sender_length;
+  return is_name ? sender->get<std::string>() : otherwise;
 }
 
 }  // namespace oxbowmill::service
--- a/src/service/market_service.cpp
+++ b/src/service/market_service.cpp
@@ -11,11 +11,13 @@
 }  // namespace
 
 MarketService::MarketService(event_base* base, ClusterState& state, Scheduler& scheduler,
-                             Autoscaler& autoscaler, market::Settings settings, std::function<double()> clock,
+                             Autoscaler& autoscaler, market::Settings settings,
+                             MalformedMessageLog& malformed_messages, std::function<double()> clock,
                              std::function<double()> wall_clock)
     : state_(state),
       settings_(std::move(settings)),
       bidding_service_(state, scheduler, settings_),
+      malformed_messages_(malformed_messages),
       clock_(std::move(clock)),
       wall_clock_(std::move(wall_clock)) {
   clients_.resize(state.names.markets.size());
@@ -38,7 +40,7 @@
   pending_calls_[call.id] = {call, clock_() + settings_.answer_timeout_s};
   wire::MarketRequest request = wire::write_market_call(call, state_.names);
   SPDLOG_DEBUG("market call market={} path={} body={}", state_.names.markets.name(call.market), request.path,
-               request.body.is_null() ? "" : request.body.dump());
+               request.body.is_null() ? "" : wire::to_json_text(request.body));
   // The connection's timeout counts from the last byte transferred, the call's deadline from its sending.
   clients_[call.market.value]->send(
       request.is_post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, request.path,
@@ -53,6 +55,8 @@
   pending_calls_.erase(pending);
   market::Answer answer = wire::read_market_answer(call, http_response.status, http_response.body,
                                                    http_response.retry_after_s, state_.names);
+  if (answer.kind == market::AnswerKind::malformed)
+    malformed_messages_.record({"market_answer", state_.names.markets.name(call.market), answer.error});
   bidding_service_.on_answer(call, answer, clock());
 }
 
--- a/src/service/peers.cpp
+++ b/src/service/peers.cpp
@@ -72,9 +72,10 @@
   return since_state_response_s < (peer_reaches_state_service ? serve_while_cut_off_s : serve_in_outage_s);
 }
 
-Peers::Peers(event_base* base, const config::Config& config, std::function<double()> now,
-             std::function<PeerUpdate()> make_update)
-    : clock_(std::move(now)),
+Peers::Peers(event_base* base, const config::Config& config, MalformedMessageLog& malformed_messages,
+             std::function<double()> now, std::function<PeerUpdate()> make_update)
+    : malformed_messages_(malformed_messages),
+      clock_(std::move(now)),
       make_update_(std::move(make_update)),
       periodic_timer_(base,
                       [this] {
@@ -127,7 +128,10 @@
   auto update = request.method == EVHTTP_REQ_POST && request.path == "/peer"
                     ? decode_peer_update(request.body)
                     : std::nullopt;
-  if (!update) return request.responder->reply(400, "");
+  if (!update) {
+    malformed_messages_.record({"peer_update", request.peer_host, "not an update of a controller"});
+    return request.responder->reply(400, "");
+  }
   request.responder->reply(200, "");
   on_peer_update(*update);
 }
--- a/src/service/report_handler.cpp
+++ b/src/service/report_handler.cpp
@@ -2,8 +2,6 @@
 
 namespace oxbowmill::service {
 
-using wire::Json;
-
 namespace {
 constexpr int retry_after_s = 1;
 }  // namespace
@@ -22,7 +20,10 @@
 std::optional<AgentReport> ReportHandler::read(const net::Request& request) {
   auto body = wire::decode_map(request.body);
   auto report = body ? wire::read_report(*body) : std::nullopt;
-  if (!report) malformed_messages_.record("report", body ? body->value("host", Json()).dump() : "unknown");
+  if (!report) {
+    malformed_messages_.record({"report", sender_in(body, "host", request.peer_host),
+                                body ? "a field is missing or invalid" : body.error()});
+  }
   return report;
 }
 
--- a/src/service/state_replica.cpp
+++ b/src/service/state_replica.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "oxbowmill/service/transaction_body.h"
+#include "oxbowmill/utf8.h"
 
 namespace oxbowmill::service {
 
@@ -21,6 +22,14 @@
 // of the processor of a small machine.
 constexpr double non_owner_watch_interval_s = 0.6;
 constexpr double frequent_reads_watch_interval_s = 0.3;
+
+bool has_valid_texts(const std::string& key, const Json& value) {
+  return is_valid_utf8(key) && !wire::find_invalid_text(value);
+}
+
+void log_unreadable(const std::string& key) {
+  SPDLOG_ERROR("unreadable value in state service key={}", wire::to_json_text(key));
+}
 }  // namespace
 
 StateReplica::StateReplica(event_base* base, state::Store& store, ClusterState& state, Scheduler& scheduler,
@@ -187,16 +196,14 @@
 
 void StateReplica::apply_key(const std::string& key, const Json* value, Revision revision) {
   if (!accept_revision(key, revision, value == nullptr)) return;
+  if (value != nullptr && !has_valid_texts(key, *value)) return log_unreadable(key);
   if (key == state::catalog_key) {
     if (value != nullptr && on_catalog) on_catalog(*value);
     return;
   }
   auto change = state::decode(key, value, state_);
-  if (!change) {
-    if (value != nullptr) SPDLOG_ERROR("unreadable value in state service key={}", key);
-    return;
-  }
-  state_.apply(*change, revision, clock_());
+  if (change) return state_.apply(*change, revision, clock_());
+  if (value != nullptr) log_unreadable(key);
 }
 
 void StateReplica::apply_own_write(const std::vector<std::pair<std::string, Change>>& changes,
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -137,14 +137,13 @@
 void SubmissionService::submit(const net::Request& request) {
   const net::ResponderPtr& responder = request.responder;
   auto body = wire::decode_map(request.body);
-  if (!body) return reply_error(responder, 400, "not a CBOR map within the size limit");
+  if (!body) return refuse_malformed(request, body, body.error());
   double first_attempt_at = first_attempts_.record_attempt(*body, wall_clock_());
   if (is_overloaded()) return reply_unavailable(responder);
   Admission admission = admit(*body, state_.names, state_.settings, state_.catalog, first_attempt_at);
   std::string ref = admission.spec.ref;
   if (!admission.rejection) return commit_submission(ref, admission.record, responder);
-  if (admission.is_permanent)
-    return reply_error(responder, admission.rejection->status, admission.rejection->reason);
+  if (admission.is_permanent) return refuse_malformed(request, body, admission.rejection->reason);
   // A repeated submission of an accepted job is never rejected, even if the submission is not admissible now:
   // the catalog may have changed since the job was accepted.
   query_keys(ref, [this, ref, rejection = *admission.rejection, responder](const PendingQuery& pending,
@@ -155,6 +154,12 @@
   });
 }
 
+void SubmissionService::refuse_malformed(const net::Request& request, const wire::DecodedMap& body,
+                                         const std::string& reason) {
+  malformed_messages_.record({"submission", sender_in(body, "owner", request.peer_host), reason});
+  reply_error(request.responder, 400, reason);
+}
+
 void SubmissionService::commit_submission(const std::string& ref, const Json& record,
                                           const net::ResponderPtr& responder) {
   store_.commit(submission_txn(ref, record), Urgency::user,
--- a/src/service/write_queue.cpp
+++ b/src/service/write_queue.cpp
@@ -23,7 +23,8 @@
     transaction.changes.emplace_back(std::move(key), change);
   }
   transaction.body = body.json();
-  SPDLOG_DEBUG("transaction created id={} operations={}", write.id, transaction.body["apply"].dump());
+  SPDLOG_DEBUG("transaction created id={} operations={}", write.id,
+               wire::to_json_text(transaction.body["apply"]));
   return transaction;
 }
 
--- a/src/simulation/agent_simulator.cpp
+++ b/src/simulation/agent_simulator.cpp
@@ -196,15 +196,16 @@
     agent.next_report_at = agent.disconnected_until;
     return;
   }
-  Json body = Json::from_cbor(response.body, true, false);
+  auto body = wire::decode_map(response.body, {wire::no_size_limit});
   if (response.status == 200) {
     agent.next_report_at = now + settings_.report_interval_s * uniform(0.75, 1.25);
-    if (auto answer = read_answer(body)) agent.worker.handle_response(*answer, now);
+    auto answer = body ? read_answer(*body) : std::nullopt;
+    if (answer) agent.worker.handle_response(*answer, now);
     sync_tasks(agent);
     return;
   }
   if (response.status == 0) ++counts_.unanswered_reports;
-  std::string owner = response.status == 421 && body.is_object() ? body.value("foreman", "") : "";
+  std::string owner = response.status == 421 && body ? body->value("foreman", "") : "";
   std::size_t next = (agent.controller + 1) % settings_.controllers;
   bool redirected = false;
   for (std::size_t i = 0; i < settings_.controllers; ++i) {
@@ -224,8 +225,8 @@
   }
   ++counts_.commands;
   counts_.command_bytes += static_cast<double>(request.body.size());
-  Json body = Json::from_cbor(request.body, true, false);
-  auto command = body.is_object() ? read_direct_commands(body) : std::nullopt;
+  auto body = wire::decode_map(request.body, {wire::no_size_limit});
+  auto command = body ? read_direct_commands(*body) : std::nullopt;
   if (!command) return request.responder->reply(400, "");
   std::uint64_t fencing_token = agent.worker.fencing_token();
   bool done = agent.worker.handle_commands(*command);
--- a/src/simulation/scale_users.cpp
+++ b/src/simulation/scale_users.cpp
@@ -52,8 +52,8 @@
   if (response.status == 404) return JobAnswer::not_found;
   if (response.status == 400 || response.status == 422) return JobAnswer::rejected;
   if (response.status != 200 && response.status != 201) return JobAnswer::no_answer;
-  Json body = Json::from_cbor(response.body, true, false);
-  std::string phase = body.is_object() ? body.value("phase", "") : "";
+  auto body = wire::decode_map(response.body);
+  std::string phase = body ? body->value("phase", "") : "";
   return phase == "done" ? JobAnswer::done : phase == "cancelled" ? JobAnswer::cancelled : JobAnswer::open;
 }
 
--- a/src/simulation/simulated_market.cpp
+++ b/src/simulation/simulated_market.cpp
@@ -43,8 +43,10 @@
 MarketReply SimulatedMarket::route(const std::string& method, const std::string& path,
                                    const std::string& body, double now) {
   static const std::string bids = "/bids/";
-  Json request = body.empty() ? Json::object() : Json::from_cbor(body, true, false);
-  if (!request.is_object()) return {400, "", 0};
+  auto decoded =
+      body.empty() ? wire::DecodedMap(Json::object()) : wire::decode_map(body, {wire::no_size_limit});
+  if (!decoded) return {400, "", 0};
+  const Json& request = *decoded;
   if (path == "/quotes") return ok(quotes(request, now));
   if (path == "/bids") return bid(request, now);
   if (path.rfind(bids, 0) == 0) return handle_bid(method, path.substr(bids.size()), request, now);
--- a/src/simulation/state_server.cpp
+++ b/src/simulation/state_server.cpp
@@ -71,8 +71,11 @@
   }
   if (request.path == "/watch") return open_watch(request);
   if (store_.outage()) return answer(request.responder, 503, Json::object());
-  Json body = request.body.empty() ? Json::object() : Json::from_cbor(request.body, true, false);
-  if (!body.is_object()) return answer(request.responder, 400, Json::object());
+  wire::BodyRules rules{wire::no_size_limit, wire::TextCheck::by_caller};
+  auto decoded =
+      request.body.empty() ? wire::DecodedMap(Json::object()) : wire::decode_map(request.body, rules);
+  if (!decoded) return answer(request.responder, 400, Json::object());
+  const Json& body = *decoded;
   if (request.path == "/txn") return serve_transaction(request, body);
   if (has_prefix(request.path, "/holds")) return serve_lease(request, body);
   if (request.path == "/store") return serve_list(request);
--- a/src/simulation/state_store.cpp
+++ b/src/simulation/state_store.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/simulation/state_store.h"
 
+#include "oxbowmill/wire/cbor.h"
+
 namespace oxbowmill::simulation {
 
 void StateStore::change(const std::string& key, std::optional<Json> value, std::uint64_t lease_id) {
@@ -23,7 +25,7 @@
     return {400, {{"error", "too large"}}};
   }
   for (const Json& op : body.at("apply")) {
-    if (op.contains("put") && op.at("value").dump().size() > value_bytes)
+    if (op.contains("put") && wire::to_json_text(op.at("value")).size() > value_bytes)
       return {400, {{"error", "too large"}}};
   }
   for (const Json& op : body.at("apply")) {
--- a/src/state/job_records.cpp
+++ b/src/state/job_records.cpp
@@ -59,7 +59,8 @@
   if (record.placements.size() + record.checkpoints.size() + record.finishes.size() <= rows_that_always_fit)
     return;
   for (const char* optional_field : {stored::chunk::finishes, stored::chunk::checkpoints}) {
-    if (static_cast<double>(value.dump().size()) > max_value_kb * 1024) value.erase(optional_field);
+    if (static_cast<double>(wire::to_json_text(value).size()) > max_value_kb * 1024)
+      value.erase(optional_field);
   }
 }
 
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -36,18 +36,21 @@
   return std::string(path::leases) + "/" + std::to_string(id);
 }
 
-/// Treats a response whose body is not a CBOR map as no response.
+/// Treats a response whose body is not a CBOR map as no response. The texts in the body are not checked.
 StoreResponse read_response(const net::Response& http_response, const std::string& path, double sent_at) {
   StoreResponse response;
   response.status = http_response.status;
   response.sent_at = sent_at;
   if (http_response.body.empty()) return response;
-  response.body = Json::from_cbor(http_response.body, true, false);
-  if (response.body.is_discarded() || !response.body.is_object()) {
-    SPDLOG_ERROR("state service response unreadable path={}", path);
-    response.status = 0;
-    response.body = Json::object();
+  // One unreadable value must not hide the others, so the reader of each value checks its texts.
+  auto body = wire::decode_map(http_response.body, {wire::no_size_limit, wire::TextCheck::by_caller});
+  if (body) {
+    response.body = std::move(*body);
+    return response;
   }
+  SPDLOG_ERROR("state service response unreadable path={} reason={}", path, wire::to_json_text(body.error()));
+  response.status = 0;
+  response.body = Json::object();
   return response;
 }
 
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -3,14 +3,63 @@
 #include <algorithm>
 
 #include "field_reader.h"
+#include "oxbowmill/utf8.h"
 
 namespace oxbowmill::wire {
 
-std::optional<Json> decode_map(const std::string& body) {
-  if (body.size() > max_body_size) return std::nullopt;
+namespace {
+
+bool is_valid_text(const Json& json) {
+  return !json.is_string() || is_valid_utf8(json.get_ref<const std::string&>());
+}
+
+/// Whether all texts and all names of fields are UTF-8, at any depth.
+bool has_valid_texts(const Json& json) {
+  // A body can be nested too deeply for a recursive function.
+  std::vector<const Json*> unchecked{&json};
+  while (!unchecked.empty()) {
+    const Json& next = *unchecked.back();
+    unchecked.pop_back();
+    if (!is_valid_text(next)) return false;
+    if (!next.is_structured()) continue;
+    for (const auto& [name, item] : next.items()) {
+      if (next.is_object() && !is_valid_utf8(name)) return false;
+      unchecked.push_back(&item);
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+DecodedMap DecodedMap::invalid(std::string reason) {
+  DecodedMap decoded;
+  decoded.error_ = std::move(reason);
+  return decoded;
+}
+
+DecodedMap decode_map(const std::string& body, const BodyRules& rules) {
+  if (body.size() > rules.max_size)
+    return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
   Json json = Json::from_cbor(body, true, false);
-  if (json.is_discarded() || !json.is_object()) return std::nullopt;
-  return json;
+  if (json.is_discarded()) return DecodedMap::invalid("not CBOR");
+  if (!json.is_object()) return DecodedMap::invalid("not a map");
+  if (rules.text_check == TextCheck::whole_body) {
+    if (auto invalid_text = find_invalid_text(json)) return DecodedMap::invalid(*invalid_text);
+  }
+  return DecodedMap(std::move(json));
+}
+
+std::optional<std::string> find_invalid_text(const Json& map) {
+  for (const auto& [name, value] : map.items()) {
+    if (!is_valid_utf8(name)) return "the name of a field is not UTF-8";
+    if (!has_valid_texts(value)) return name + ": text is not UTF-8";
+  }
+  return std::nullopt;
+}
+
+std::string to_json_text(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string encode(const Json& json) {
--- a/src/wire/cloud_codec.cpp
+++ b/src/wire/cloud_codec.cpp
@@ -18,6 +18,8 @@
 constexpr const char* boot_s = "ready_s";
 // Fields of requests for machines.
 constexpr const char* request_id = "hire";
+// Field of refusals.
+constexpr const char* error = "error";
 // Fields of the list of machines.
 constexpr const char* machine_name = "ref";
 constexpr const char* age_s = "age_s";
@@ -67,6 +69,11 @@
 
 }  // namespace
 
+bool is_no_capacity(const Json& json) {
+  auto error = json.find(field::error);
+  return error != json.end() && *error == "no capacity";
+}
+
 std::optional<std::vector<CatalogEntry>> read_catalog(const Json& json) {
   auto types = json.find(shared::machine_types);
   if (types == json.end() || !types->is_array() || types->empty()) return std::nullopt;
--- a/src/wire/market_codec.cpp
+++ b/src/wire/market_codec.cpp
@@ -289,15 +289,19 @@
   Answer answer;
   answer.kind = kind_of_status(status);
   answer.retry_after_s = retry_after_s;
+  if (answer.kind == AnswerKind::malformed) answer.error = "unexpected status " + std::to_string(status);
   if (answer.kind != AnswerKind::ok) return answer;
   answer.kind = AnswerKind::malformed;
-  if (body.size() > max_market_body_size) return answer;
-  Json json = Json::from_cbor(body, true, false);
-  if (!json.is_object()) return answer;
-  if (!read_body(call, json, names, answer)) {
+  auto decoded = decode_map(body, {max_market_body_size});
+  if (!decoded) {
+    answer.error = decoded.error();
+    return answer;
+  }
+  if (!read_body(call, *decoded, names, answer)) {
     // The content that was read before the malformed field must not be used either.
     answer = Answer{};
     answer.kind = AnswerKind::malformed;
+    answer.error = "a field is missing or invalid";
     return answer;
   }
   answer.kind = AnswerKind::ok;
--- a/src/yaml/map.cpp
+++ b/src/yaml/map.cpp
@@ -1,16 +1,38 @@
 #include "oxbowmill/yaml/map.h"
 
 #include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include "oxbowmill/utf8.h"
 
 namespace oxbowmill::yaml {
 
+namespace {
+
+/// Throws if a line is not UTF-8. The YAML library passes such bytes on as they are.
+void check_text(const std::string& file, const std::string& content) {
+  std::istringstream lines(content);
+  std::size_t number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    if (!is_valid_utf8(line)) throw Error(file, "line " + std::to_string(number), "text is not UTF-8");
+  }
+}
+
+}  // namespace
+
 std::string error_line(const std::string& file, const std::string& key, const std::string& reason) {
   return file + ": " + (key.empty() ? "" : key + ": ") + reason;
 }
 
 YAML::Node load(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw Error(file, "", "cannot be opened");
+  std::string content{std::istreambuf_iterator<char>(in), {}};
+  check_text(file, content);
   try {
-    return YAML::LoadFile(file);
+    return YAML::Load(content);
   } catch (const YAML::Exception& error) {
     throw Error(file, "", "cannot be read as YAML: " + error.msg);
   }
