Bodies that begin with a huge count are refused and end no controller

Cause: from_cbor throws out_of_range 408 for a count that a JSON value cannot hold, though its option against exceptions was set: that covers errors of syntax alone.

The log of malformed messages counts its limit for each kind, since reasons vary with the body: users cannot use it up for agents and the cloud.

--- a/include/oxbowmill/service/malformed_message_log.h
+++ b/include/oxbowmill/service/malformed_message_log.h
@@ -1,6 +1,7 @@
 // Logs unreadable messages without letting a faulty sender flood the log. Event loop thread only.
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -18,12 +19,12 @@
 /// Logs at most one line for each kind of message, sender and reason.
 class MalformedMessageLog {
  public:
-  /// Logs the message, unless an equal one has been logged before. Stops logging after a fixed number of
-  /// lines.
+  /// Logs the message, unless an equal one has been logged before. Stops logging messages of a kind after a
+  /// fixed number of lines.
   void record(const MalformedMessage& message);
 
  private:
-  std::set<std::string> logged_;
+  std::map<std::string, std::set<std::string>> logged_;  // senders and reasons by kind
 };
 
 /// The text in a field that names the sender, or `otherwise` if there is no body or no such name.
--- a/src/service/malformed_message_log.cpp
+++ b/src/service/malformed_message_log.cpp
@@ -5,14 +5,17 @@
 namespace oxbowmill::service {
 
 namespace {
-constexpr std::size_t max_logged = 1000;        // bounds the memory that arbitrary sender names take
+// Bounds the memory that arbitrary texts take. Applies to each kind, so that users cannot use it up for
+// agents.
+constexpr std::size_t max_logged_per_kind = 200;
 constexpr std::size_t max_sender_length = 120;  // bytes
 }  // namespace
 
 void MalformedMessageLog::record(const MalformedMessage& message) {
   // As JSON, because a sender or the name of a field may hold line breaks.
   std::string sender = wire::to_json_text(message.sender), reason = wire::to_json_text(message.reason);
-  if (logged_.size() < max_logged && logged_.insert(message.kind + sender + reason).second)
+  std::set<std::string>& logged = logged_[message.kind];
+  if (logged.size() < max_logged_per_kind && logged.insert(sender + reason).second)
     SPDLOG_ERROR("malformed message kind={} sender={} reason={}", message.kind, sender, reason);
 }
 
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -30,6 +30,13 @@
   return true;
 }
 
+/// The library's message without the number of the exception, which stands before it in brackets.
+std::string message_of(const Json::exception& error) {
+  std::string message = error.what();
+  std::size_t number_end = message.find("] ");
+  return number_end == std::string::npos ? message : message.substr(number_end + 2);
+}
+
 }  // namespace
 
 DecodedMap DecodedMap::invalid(std::string reason) {
@@ -41,8 +48,14 @@
 DecodedMap decode_map(const std::string& body, const BodyRules& rules) {
   if (body.size() > rules.max_size)
     return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
-  Json json = Json::from_cbor(body, true, false);
-  if (json.is_discarded()) return DecodedMap::invalid("not CBOR");
+  Json json;
+  // The option of from_cbor that switches exceptions off covers errors of syntax alone: a count that a JSON
+  // value cannot hold is thrown all the same.
+  try {
+    json = Json::from_cbor(body);
+  } catch (const Json::exception& error) {
+    return DecodedMap::invalid("not CBOR: " + message_of(error));
+  }
   if (!json.is_object()) return DecodedMap::invalid("not a map");
   if (rules.text_check == TextCheck::whole_body) {
     if (auto invalid_text = find_invalid_text(json)) return DecodedMap::invalid(*invalid_text);
