Bodies nested too deeply are refused and do not exhaust the stack

A response of 1 MB of arrays within each other ended the controller by a segmentation fault.

Cause: the CBOR library calls itself for each level. Requests of 64 KiB fit into the usual stack; answers of the state service, the cloud's list and markets' answers may be larger.

Change: wire::decode_map counts levels while it decodes and stops at the limit: 64 for bodies that may be larger than 64 KiB (messages have 6). Requests keep theirs, since unknown fields must be ignored.

Decoding 65,400 levels passed with a stack of 6 MB and failed with 4 MB, so requests have 2 MB left over.

--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -25,11 +25,15 @@
 
 /// What is accepted as a body.
 struct BodyRules {
-  std::size_t max_size = max_body_size;          ///< in bytes
+  std::size_t max_size = max_body_size;  ///< in bytes
+  /// Levels of maps and arrays. The default admits every body of up to `max_body_size` bytes, since fields
+  /// that the receiver does not know must be ignored. Decoding such a body takes up to 6 MB of stack.
+  std::size_t max_nesting = max_body_size;
   TextCheck text_check = TextCheck::whole_body;  ///< who checks the texts
 };
-/// For `max_size`: the HTTP client or the protocol limits the body.
-constexpr std::size_t no_size_limit = std::numeric_limits<std::size_t>::max();
+/// For bodies that no protocol limits in size, which could exhaust the stack by their nesting. No message has
+/// more than 6 levels.
+constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), 64, TextCheck::whole_body};
 
 /// Content of a received body, or the reason why it cannot be used.
 class DecodedMap {
@@ -52,8 +56,8 @@
   std::string error_;
 };
 
-/// Decodes a body. It has no content if it is not CBOR, has trailing bytes, is too large, is not a map or
-/// holds a text that is not UTF-8.
+/// Decodes a body. It has no content if it is not CBOR, has trailing bytes, is too large, is nested too
+/// deeply, is not a map or holds a text that is not UTF-8.
 DecodedMap decode_map(const std::string& body, const BodyRules& rules = {});
 /// Encodes a body as CBOR.
 std::string encode(const Json& json);
--- a/src/service/cloud_client.cpp
+++ b/src/service/cloud_client.cpp
@@ -102,7 +102,7 @@
 void CloudClient::on_page(const net::Response& http_response, const MachineList& machines) {
   if (http_response.status != 200) return autoscaler_.on_list_failed();
   // Pages may be larger than the bodies that users and agents may send.
-  auto body = wire::decode_map(http_response.body, {wire::no_size_limit});
+  auto body = wire::decode_map(http_response.body, wire::large_body_rules);
   auto page = body ? wire::read_machine_list(*body) : std::nullopt;
   if (!page) {
     log_malformed("machine_list", body);
--- a/src/simulation/agent_simulator.cpp
+++ b/src/simulation/agent_simulator.cpp
@@ -196,7 +196,7 @@
     agent.next_report_at = agent.disconnected_until;
     return;
   }
-  auto body = wire::decode_map(response.body, {wire::no_size_limit});
+  auto body = wire::decode_map(response.body, wire::large_body_rules);
   if (response.status == 200) {
     agent.next_report_at = now + settings_.report_interval_s * uniform(0.75, 1.25);
     auto answer = body ? read_answer(*body) : std::nullopt;
@@ -225,7 +225,7 @@
   }
   ++counts_.commands;
   counts_.command_bytes += static_cast<double>(request.body.size());
-  auto body = wire::decode_map(request.body, {wire::no_size_limit});
+  auto body = wire::decode_map(request.body, wire::large_body_rules);
   auto command = body ? read_direct_commands(*body) : std::nullopt;
   if (!command) return request.responder->reply(400, "");
   std::uint64_t fencing_token = agent.worker.fencing_token();
--- a/src/simulation/simulated_market.cpp
+++ b/src/simulation/simulated_market.cpp
@@ -44,7 +44,7 @@
                                    const std::string& body, double now) {
   static const std::string bids = "/bids/";
   auto decoded =
-      body.empty() ? wire::DecodedMap(Json::object()) : wire::decode_map(body, {wire::no_size_limit});
+      body.empty() ? wire::DecodedMap(Json::object()) : wire::decode_map(body, wire::large_body_rules);
   if (!decoded) return {400, "", 0};
   const Json& request = *decoded;
   if (path == "/quotes") return ok(quotes(request, now));
--- a/src/simulation/state_server.cpp
+++ b/src/simulation/state_server.cpp
@@ -71,7 +71,8 @@
   }
   if (request.path == "/watch") return open_watch(request);
   if (store_.outage()) return answer(request.responder, 503, Json::object());
-  wire::BodyRules rules{wire::no_size_limit, wire::TextCheck::by_caller};
+  wire::BodyRules rules = wire::large_body_rules;
+  rules.text_check = wire::TextCheck::by_caller;
   auto decoded =
       request.body.empty() ? wire::DecodedMap(Json::object()) : wire::decode_map(request.body, rules);
   if (!decoded) return answer(request.responder, 400, Json::object());
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -43,7 +43,9 @@
   response.sent_at = sent_at;
   if (http_response.body.empty()) return response;
   // One unreadable value must not hide the others, so the reader of each value checks its texts.
-  auto body = wire::decode_map(http_response.body, {wire::no_size_limit, wire::TextCheck::by_caller});
+  wire::BodyRules rules = wire::large_body_rules;
+  rules.text_check = wire::TextCheck::by_caller;
+  auto body = wire::decode_map(http_response.body, rules);
   if (body) {
     response.body = std::move(*body);
     return response;
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -9,6 +9,26 @@
 
 namespace {
 
+/// Receives the items of a body in their order and builds the value. Stops at the limit of nesting, because
+/// the decoder calls itself for each level.
+class NestingLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+ public:
+  NestingLimitedBuilder(Json& out, std::size_t max_nesting)
+      : json_sax_dom_parser(out), max_nesting_(max_nesting) {}
+  bool start_object(std::size_t size) { return enter() && json_sax_dom_parser::start_object(size); }
+  bool end_object() { return leave() && json_sax_dom_parser::end_object(); }
+  bool start_array(std::size_t size) { return enter() && json_sax_dom_parser::start_array(size); }
+  bool end_array() { return leave() && json_sax_dom_parser::end_array(); }
+
+ private:
+  bool enter() { return ++nesting_ <= max_nesting_; }
+  bool leave() {
+    --nesting_;
+    return true;
+  }
+  std::size_t max_nesting_, nesting_ = 0;
+};
+
 bool is_valid_text(const Json& json) {
   return !json.is_string() || is_valid_utf8(json.get_ref<const std::string&>());
 }
@@ -49,10 +69,12 @@
   if (body.size() > rules.max_size)
     return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
   Json json;
-  // The option of from_cbor that switches exceptions off covers errors of syntax alone: a count that a JSON
-  // value cannot hold is thrown all the same.
+  NestingLimitedBuilder builder(json, rules.max_nesting);
+  // The library's option against exceptions covers errors of syntax alone: a count that a JSON value cannot
+  // hold is thrown all the same.
   try {
-    json = Json::from_cbor(body);
+    if (!Json::sax_parse(body, &builder, Json::input_format_t::cbor))
+      return DecodedMap::invalid("nested more than " + std::to_string(rules.max_nesting) + " levels deep");
   } catch (const Json::exception& error) {
     return DecodedMap::invalid("not CBOR: " + message_of(error));
   }
--- a/src/wire/market_codec.cpp
+++ b/src/wire/market_codec.cpp
@@ -292,7 +292,9 @@
   if (answer.kind == AnswerKind::malformed) answer.error = "unexpected status " + std::to_string(status);
   if (answer.kind != AnswerKind::ok) return answer;
   answer.kind = AnswerKind::malformed;
-  auto decoded = decode_map(body, {max_market_body_size});
+  BodyRules rules = large_body_rules;
+  rules.max_size = max_market_body_size;
+  auto decoded = decode_map(body, rules);
   if (!decoded) {
     answer.error = decoded.error();
     return answer;
