Answers of the state service with fields of another type end no controller

A 200 of the state service without a body, or with a field or a stored flag of another type, ended each controller that read it.

Cause: typed access to JSON throws where the type is another one, and these bodies and flags were used without a check.

Change: state/responses reads keys, pages, events, revisions and leases, and gives nothing for one that is not as the protocol says. Such a page or watch is logged and asked for again from the same revision; before, a watch without its events moved the replica on and lost changes. A record with such a flag is unreadable. oxbowctl names ref and owner that are no text in place of the library's message.

--- a/app/oxbowctl.cpp
+++ b/app/oxbowctl.cpp
@@ -229,7 +229,7 @@
     }
   }
   for (const char* key : {"ref", "owner"}) {
-    if (!job.contains(key)) throw ArgumentError(key, "missing");
+    if (!job.contains(key) || !job[key].is_string()) throw ArgumentError(key, "missing or not text");
   }
   if (auto invalid_text = wire::find_invalid_text(job)) throw ArgumentError(*invalid_text);
   return job;
--- a/include/oxbowmill/service/state_replica.h
+++ b/include/oxbowmill/service/state_replica.h
@@ -8,6 +8,7 @@
 #include "oxbowmill/lease/controller_lease.h"
 #include "oxbowmill/service/replica_freshness.h"
 #include "oxbowmill/service/replica_readers.h"
+#include "oxbowmill/state/responses.h"
 #include "oxbowmill/state/store.h"
 
 namespace oxbowmill::service {
@@ -44,17 +45,16 @@
   void on_listing_finished();
   void watch();
   void on_watch_response(const state::StoreResponse& response);
-  /// Applies the changes of a watch response. Returns whether there were any.
-  bool apply_events(const wire::Json& body);
-  void apply_event(const wire::Json& event);
+  /// Applies the changes of a watch response. Returns the response's revision; empty if it cannot be read,
+  /// and then the changes before the unreadable one have been applied and the others must be asked for again.
+  std::optional<Revision> apply_events(const wire::Json& body);
   void publish_freshness();
   void forget_confirmed_removals();
   void schedule_watch();
   /// Returns whether a change of this revision is newer than what has been applied to the key, and if so
   /// records it as applied.
   bool accept_revision(const std::string& key, Revision revision, bool is_removal);
-  /// Applies a change of the key. `value` is null if the key was removed.
-  void apply_key(const std::string& key, const wire::Json* value, Revision revision);
+  void apply_update(const state::KeyUpdate& update);
 
   state::Store& store_;
   ClusterState& state_;
--- a/include/oxbowmill/service/transaction_body.h
+++ b/include/oxbowmill/service/transaction_body.h
@@ -27,7 +27,8 @@
   wire::Json body_ = {{"guards", wire::Json::array()}, {"apply", wire::Json::array()}};
 };
 
-/// The revision of the state service in a response, such as that of a committed transaction; 0 if missing.
+/// The revision of the state service in the response to a transaction; 0 if it cannot be read, which delays
+/// what waits for that revision until the watch brings it.
 Revision committed_revision(const wire::Json& response_body);
 
 }  // namespace oxbowmill::service
--- /dev/null
+++ b/include/oxbowmill/state/responses.h
@@ -0,0 +1,31 @@
+// Reads the bodies of the state service's responses. An empty result stands for a body that cannot be read: a
+// field is missing or has another type than the protocol says. Stateless.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "oxbowmill/cluster/types.h"
+#include "oxbowmill/wire/cbor.h"
+
+namespace oxbowmill::state {
+
+/// A key as it was read, or a change of a key.
+struct KeyUpdate {
+  std::string key;                    ///< not checked for UTF-8
+  const wire::Json* value = nullptr;  ///< part of the response; null: the key was removed
+  Revision revision = 0;              ///< of the key's last change
+};
+
+/// Reads the response for a single key, or an item of a page of keys.
+std::optional<KeyUpdate> read_key(const wire::Json& item);
+/// Reads an event of the response to a watch.
+std::optional<KeyUpdate> read_event(const wire::Json& event);
+/// Reads the revision of the state service in a page, a watch or the response to a transaction.
+std::optional<Revision> read_revision(const wire::Json& body);
+/// Reads whether more pages follow this one.
+std::optional<bool> read_has_more(const wire::Json& body);
+/// Reads the id of a granted lease.
+std::optional<std::uint64_t> read_lease_id(const wire::Json& body);
+
+}  // namespace oxbowmill::state
--- a/src/service/decision_service.cpp
+++ b/src/service/decision_service.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "oxbowmill/state/responses.h"
+
 namespace oxbowmill::service {
 
 namespace {
@@ -14,9 +16,8 @@
   store.get(state::final_key(ref), Urgency::other,
             [&coordinator, ref, clock](const state::StoreResponse& response) {
               if (response.status == 404) return coordinator.on_final_phase(ref, std::nullopt, clock());
-              auto phase = response.status == 200 && response.body.contains("value")
-                               ? state::read_phase(response.body["value"])
-                               : std::nullopt;
+              auto stored = response.status == 200 ? state::read_key(response.body) : std::nullopt;
+              auto phase = stored ? state::read_phase(*stored->value) : std::nullopt;
               if (!phase) return coordinator.on_query_failed(ref);
               coordinator.on_final_phase(ref, *phase, clock());
             });
--- a/src/service/effect_sender.cpp
+++ b/src/service/effect_sender.cpp
@@ -57,7 +57,7 @@
   // A transaction that was sent again may be answered twice. Its first definite outcome counts.
   const WriteQueue::SentTransaction* sent = write_queue_.find(id);
   if (sent == nullptr) return;
-  Revision revision = response.body.is_object() ? committed_revision(response.body) : 0;
+  Revision revision = committed_revision(response.body);
   TransactionOutcome outcome = outcome_of(id, response);
   if (outcome == TransactionOutcome::applied) apply_committed(*sent, revision);
   if (!scheduler_.on_outcome(id, outcome, revision, clock_())) write_queue_.drop(id);
--- a/src/service/lease_keeper.cpp
+++ b/src/service/lease_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "oxbowmill/state/responses.h"
+
 namespace oxbowmill::service {
 
 using state::StoreResponse;
@@ -33,16 +35,17 @@
 void LeaseKeeper::acquire() {
   lease_.on_acquiring();
   if (on_acquiring) on_acquiring();
-  store_.acquire_lease(
-      state_.settings.operator_settings.controller_lease_s, [this](const StoreResponse& response) {
-        if (response.status == 200 && response.body.contains("grant") && response.body["grant"].is_number()) {
-          lease_.on_granted(response.body["grant"].get<std::uint64_t>(), response.sent_at);
-          next_attempt_at_ = response.sent_at + renewal_interval_s();
-        } else {
-          lease_.on_acquire_failed();
-          next_attempt_at_ = clock_() + acquire_retry_s;
-        }
-      });
+  store_.acquire_lease(state_.settings.operator_settings.controller_lease_s,
+                       [this](const StoreResponse& response) {
+                         auto lease_id = state::read_lease_id(response.body);
+                         if (response.status == 200 && lease_id) {
+                           lease_.on_granted(*lease_id, response.sent_at);
+                           next_attempt_at_ = response.sent_at + renewal_interval_s();
+                         } else {
+                           lease_.on_acquire_failed();
+                           next_attempt_at_ = clock_() + acquire_retry_s;
+                         }
+                       });
 }
 
 void LeaseKeeper::renew() {
--- a/src/service/state_replica.cpp
+++ b/src/service/state_replica.cpp
@@ -30,6 +30,10 @@
 void log_unreadable(const std::string& key) {
   SPDLOG_ERROR("unreadable value in state service key={}", wire::to_json_text(key));
 }
+
+void log_unreadable_response(const char* path, const char* reason) {
+  SPDLOG_ERROR("state service response unreadable path={} reason=\"{}\"", path, reason);
+}
 }  // namespace
 
 StateReplica::StateReplica(event_base* base, state::Store& store, ClusterState& state, Scheduler& scheduler,
@@ -60,20 +64,27 @@
 }
 
 void StateReplica::on_page(const StoreResponse& response) {
+  if (response.status != 200) return retry_timer_.schedule(list_retry_s);
   auto items = response.body.find("items");
-  if (response.status != 200 || items == response.body.end() || !items->is_array()) {
-    retry_timer_.schedule(list_retry_s);
-    return;
+  auto revision = state::read_revision(response.body);
+  auto has_more = state::read_has_more(response.body);
+  if (items == response.body.end() || !items->is_array() || !revision || !has_more) {
+    log_unreadable_response("/store", "a field of the page is missing or invalid");
+    return retry_timer_.schedule(list_retry_s);
   }
-  freshness_.on_page(committed_revision(response.body), response.sent_at);
+  freshness_.on_page(*revision, response.sent_at);
   std::string last_key;
   for (const Json& item : *items) {
-    last_key = item.value("k", std::string());
+    auto listed = state::read_key(item);
+    if (!listed) {
+      log_unreadable_response("/store", "an item of the page is invalid");
+      return retry_timer_.schedule(list_retry_s);
+    }
+    last_key = listed->key;
     listed_keys_.insert(last_key);
-    auto value = item.find("value");
-    if (value != item.end()) apply_key(last_key, &*value, item.value("stamp", Revision{0}));
+    apply_update(*listed);
   }
-  if (response.body.value("truncated", false) && !last_key.empty()) return request_page(last_key);
+  if (*has_more && !last_key.empty()) return request_page(last_key);
   on_listing_finished();
 }
 
@@ -83,7 +94,7 @@
   for (const auto& [key, revision] : revisions_) {
     if (revision <= freshness_.revision() && listed_keys_.count(key) == 0) removed.push_back(key);
   }
-  for (const std::string& key : removed) apply_key(key, nullptr, freshness_.revision());
+  for (const std::string& key : removed) apply_update({key, nullptr, freshness_.revision()});
   listed_keys_.clear();
   freshness_.on_listing_finished();
   publish_freshness();
@@ -125,14 +136,15 @@
 void StateReplica::on_watch_response(const StoreResponse& response) {
   is_long_polling_ = false;
   std::vector<FreshnessHandler> readers = readers_.take_open_watch_readers();
-  if (response.status != 200) {
+  std::optional<Revision> revision = response.status == 200 ? apply_events(response.body) : std::nullopt;
+  if (!revision) {
     for (const FreshnessHandler& on_done : readers) on_done(false);
     // 410 means that changes since this revision are no longer available, so the keys are listed again.
     if (response.status == 410) return start();
     return retry_timer_.schedule(watch_retry_s);
   }
-  bool has_changes = apply_events(response.body);
-  freshness_.on_watch_response(committed_revision(response.body), response.sent_at);
+  bool has_changes = !response.body.at("news").empty();
+  freshness_.on_watch_response(*revision, response.sent_at);
   publish_freshness();
   forget_confirmed_removals();
   for (const FreshnessHandler& on_done : readers) on_done(true);
@@ -140,23 +152,22 @@
   schedule_watch();
 }
 
-bool StateReplica::apply_events(const Json& body) {
+std::optional<Revision> StateReplica::apply_events(const Json& body) {
+  auto revision = state::read_revision(body);
   auto events = body.find("news");
-  if (events == body.end() || !events->is_array()) return false;
-  for (const Json& event : *events) apply_event(event);
-  return !events->empty();
-}
-
-void StateReplica::apply_event(const Json& event) {
-  auto put_key = event.find("put");
-  auto removed_key = event.find("delete");
-  Revision revision = event.value("stamp", Revision{0});
-  if (put_key != event.end() && put_key->is_string()) {
-    auto value = event.find("value");
-    if (value != event.end()) apply_key(put_key->get<std::string>(), &*value, revision);
-  } else if (removed_key != event.end() && removed_key->is_string()) {
-    apply_key(removed_key->get<std::string>(), nullptr, revision);
+  if (!revision || events == body.end() || !events->is_array()) {
+    log_unreadable_response("/watch", "a field is missing or invalid");
+    return std::nullopt;
+  }
+  for (const Json& event : *events) {
+    auto update = state::read_event(event);
+    if (!update) {
+      log_unreadable_response("/watch", "an event is invalid");
+      return std::nullopt;
+    }
+    apply_update(*update);
   }
+  return revision;
 }
 
 void StateReplica::forget_confirmed_removals() {
@@ -194,7 +205,8 @@
   return true;
 }
 
-void StateReplica::apply_key(const std::string& key, const Json* value, Revision revision) {
+void StateReplica::apply_update(const state::KeyUpdate& update) {
+  const auto& [key, value, revision] = update;
   if (!accept_revision(key, revision, value == nullptr)) return;
   if (value != nullptr && !has_valid_texts(key, *value)) return log_unreadable(key);
   if (key == state::catalog_key) {
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "oxbowmill/service/transaction_body.h"
+#include "oxbowmill/state/responses.h"
 
 namespace oxbowmill::service {
 
@@ -26,12 +27,6 @@
   reply_error(responder, 404, "no such job");
 }
 
-/// The phase in the value that was read; empty if there is no readable one.
-std::optional<JobPhase> read_stored_phase(const StoreResponse& response) {
-  if (response.status != 200 || !response.body.contains("value")) return std::nullopt;
-  return state::read_phase(response.body["value"]);
-}
-
 KeyReadResult to_read_result(const StoreResponse& response, std::optional<JobPhase> phase) {
   if (phase) return {KeyReadResult::Kind::found, *phase};
   KeyReadResult result;
@@ -91,11 +86,12 @@
   bool is_live_key = step == QueryStep::read_live;
   std::string key = is_live_key ? state::job_key(pending->ref) : state::final_key(pending->ref);
   store_.get(key, Urgency::user, [this, pending, is_live_key](const StoreResponse& response) {
-    auto phase = read_stored_phase(response);
+    auto stored = response.status == 200 ? state::read_key(response.body) : std::nullopt;
+    auto phase = stored ? state::read_phase(*stored->value) : std::nullopt;
     KeyReadResult result = to_read_result(response, phase);
     if (phase && is_live_key) {
-      pending->revision = response.body.value("stamp", Revision{0});
-      pending->value = response.body["value"];
+      pending->revision = stored->revision;
+      pending->value = *stored->value;
     }
     advance(pending,
             is_live_key ? pending->query.on_live_key_read(result) : pending->query.on_final_key_read(result));
--- a/src/service/transaction_body.cpp
+++ b/src/service/transaction_body.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/service/transaction_body.h"
 
+#include "oxbowmill/state/responses.h"
+
 namespace oxbowmill::service {
 
 using wire::Json;
@@ -36,7 +38,7 @@
 }
 
 Revision committed_revision(const Json& response_body) {
-  return response_body.value("ledger_rev", Revision{0});
+  return state::read_revision(response_body).value_or(0);
 }
 
 }  // namespace oxbowmill::service
--- a/src/state/accounting_records.cpp
+++ b/src/state/accounting_records.cpp
@@ -55,7 +55,7 @@
   std::string market = read_string(value, field::market);
   record.type = cluster.intern_type(read_string(value, field::type));
   record.zone = cluster.names.zones.find(read_string(value, field::zone));
-  record.spot = value.value(field::spot, false);
+  if (!read_flag(value, field::spot, record.spot)) return std::nullopt;
   record.price_limit = static_cast<MoneyAmount>(read_number(value, field::price_limit));
   record.max_paid_s = read_number(value, field::max_paid_s);
   record.send_before = read_number(value, field::send_before);
--- a/src/state/machine_records.cpp
+++ b/src/state/machine_records.cpp
@@ -33,9 +33,13 @@
   record.type = cluster.intern_type(read_string(value, field::type));
   record.zone = names.zones.find(read_string(value, field::zone));
   record.requested_by = names.partitions.find(read_string(value, field::requested_by));
-  record.spot = value.value(field::spot, false);
-  record.has_booted = value.value(field::has_booted, false);
-  record.mark = value.value(field::deleting, false) ? MachineMark::deleting : MachineMark::none;
+  bool is_deleting = false;
+  if (!read_flag(value, field::spot, record.spot) ||
+      !read_flag(value, field::has_booted, record.has_booted) ||
+      !read_flag(value, field::deleting, is_deleting)) {
+    return std::nullopt;
+  }
+  record.mark = is_deleting ? MachineMark::deleting : MachineMark::none;
   if (std::string market = read_string(value, field::market); !market.empty()) {
     record.market = names.markets.intern(market);
     record.bid = read_string(value, field::bid);
--- a/src/state/stored_fields.cpp
+++ b/src/state/stored_fields.cpp
@@ -19,6 +19,13 @@
   return it != record.end() && it->is_number_integer() ? it->get<std::uint64_t>() : 0;
 }
 
+bool read_flag(const Json& record, const char* field, bool& out) {
+  auto it = record.find(field);
+  if (it != record.end() && !it->is_boolean()) return false;
+  out = it != record.end() && it->get<bool>();
+  return true;
+}
+
 bool read_numbers(const Json& record, const char* field, std::initializer_list<double*> outputs) {
   auto it = record.find(field);
   if (it == record.end() || !it->is_array() || it->size() != outputs.size()) return false;
--- a/tests/controller_process_test.cpp
+++ b/tests/controller_process_test.cpp
@@ -412,6 +412,7 @@
       {"--team red submit " + job_file, 0, "run-1 "},  // repeated submission of the same job
       {"--team nobody submit " + job_file + " --ref run-2", 3, "can never run"},
       {"submit " + job_file, 2, "owner: missing"},
+      {"--team red submit " + job_file + " --ref null", 2, "ref: missing or not text"},
       {"--team red submit " + job_file + " --shards many", 2, "--shards: value has the wrong type"},
       {"--team red submit /no/such/file", 2, "/no/such/file"},
       {"status run-77", 4, "no such job"},
