Changes missed during a silence are applied one by one, not as one document

Cause: a watch returns all that changed since a revision, without a limit, and the answer was built as one document.

Change: wire::decode_map takes a ListReader, which gets the items of one list while the body is decoded; the replica applies the events of a watch from it. An answer that is unreadable after some events is asked for again from the same revision, and applied events are skipped by theirs.

--- a/include/oxbowmill/service/state_replica.h
+++ b/include/oxbowmill/service/state_replica.h
@@ -45,9 +45,11 @@
   void on_listing_finished();
   void watch();
   void on_watch_response(const state::StoreResponse& response);
-  /// Applies the changes of a watch response. Returns the response's revision; empty if it cannot be read,
-  /// and then the changes before the unreadable one have been applied and the others must be asked for again.
-  std::optional<Revision> apply_events(const wire::Json& body);
+  /// Applies an event of the open watch, unless one before it was unreadable.
+  void apply_event(const wire::Json& event);
+  /// The revision of a watch response, all of whose events have been applied. Empty if the response or an
+  /// event cannot be read; the events from that one on must then be asked for again.
+  std::optional<Revision> watched_revision(const wire::Json& body) const;
   void publish_freshness();
   void forget_confirmed_removals();
   void schedule_watch();
@@ -56,6 +58,11 @@
   bool accept_revision(const std::string& key, Revision revision, bool is_removal);
   void apply_update(const state::KeyUpdate& update);
 
+  /// What is known of the events of the open watch.
+  struct WatchProgress {
+    bool has_changes = false, has_unreadable_event = false;
+  };
+
   state::Store& store_;
   ClusterState& state_;
   Scheduler& scheduler_;
@@ -67,6 +74,7 @@
   std::set<std::string> listed_keys_;                               // of the listing in progress
   std::unordered_map<std::string, Revision> revisions_;             // by existing key; the applied revision
   std::unordered_map<std::string, Revision> unconfirmed_removals_;  // by key; not yet seen on the watch
+  WatchProgress watch_progress_;
   double last_watch_at_ = 0;
   bool is_long_polling_ = false;  // the state service may hold the open watch until something changes
 };
--- a/include/oxbowmill/state/store.h
+++ b/include/oxbowmill/state/store.h
@@ -27,6 +27,9 @@
 /// Handles the response to a call. Called once per call.
 using StoreResponseHandler = std::function<void(const StoreResponse&)>;
 
+/// Handles an event of the response to a watch.
+using StoreEventHandler = std::function<void(const Json& event)>;
+
 /// Calls of one controller to the state service. Reads and transactions wait for the limits in order of
 /// urgency. Lease calls and the watch have connections of their own and do not wait for the limits.
 class Store {
@@ -48,8 +51,11 @@
   void renew_lease(std::uint64_t id, StoreResponseHandler on_response);
   /// Ends a lease immediately; the service deletes the keys attached to it.
   void end_lease(std::uint64_t id, StoreResponseHandler on_response);
-  /// Waits up to `wait_s` seconds for changes after the revision `from` of keys with a prefix.
-  void watch(const std::string& prefix, Revision from, double wait_s, StoreResponseHandler on_response);
+  /// Waits up to `wait_s` seconds for changes after the revision `from` of keys with a prefix. `on_event` is
+  /// called with each event in turn, then `on_response`; after events, the response may still be one that
+  /// cannot be read. The list of events in the response is empty.
+  void watch(const std::string& prefix, Revision from, double wait_s, StoreEventHandler on_event,
+             StoreResponseHandler on_response);
   /// Sets the number of live controllers among which the service's limits are divided.
   void set_live_controllers(std::size_t count);
   /// Time of the last response other than 429 and 503, in seconds of the store's clock.
@@ -67,6 +73,7 @@
     double changes = 0, timeout_s = 2;
     StoreResponseHandler on_response;
     double queued_at = 0;
+    StoreEventHandler on_event = nullptr;  // of a watch
   };
   using Queue = std::deque<Call>;
   /// The next call to send from a queue, and how long the limits delay it.
--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -35,6 +36,12 @@
 /// more than 6 levels.
 constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), 64, TextCheck::whole_body};
 
+/// Reads a list item by item, so that a long one takes no more memory than its body and its largest item.
+struct ListReader {
+  std::string field;                              ///< of the map, whose value is the list
+  std::function<void(const Json& item)> on_item;  ///< called for each item in turn
+};
+
 /// Content of a received body, or the reason why it cannot be used.
 class DecodedMap {
  public:
@@ -58,7 +65,10 @@
 
 /// Decodes a body. It has no content if it is not CBOR, has trailing bytes, is too large, is nested too
 /// deeply, is not a map or holds a text that is not UTF-8.
-DecodedMap decode_map(const std::string& body, const BodyRules& rules = {});
+///
+/// With `list`, that list is empty in the content, and its items are handled while the body is decoded: those
+/// before an error too. Their texts are not checked.
+DecodedMap decode_map(const std::string& body, const BodyRules& rules = {}, const ListReader* list = nullptr);
 /// Encodes a body as CBOR.
 std::string encode(const Json& json);
 
--- a/src/service/state_replica.cpp
+++ b/src/service/state_replica.cpp
@@ -129,45 +129,49 @@
   last_watch_at_ = clock_();
   is_long_polling_ = !readers_.is_read_often();
   readers_.on_watch_sent();
-  store_.watch(state::live_prefix, freshness_.revision(), is_long_polling_ ? watch_wait_s : 0,
-               [this](const StoreResponse& response) { on_watch_response(response); });
+  watch_progress_ = {};
+  store_.watch(
+      state::live_prefix, freshness_.revision(), is_long_polling_ ? watch_wait_s : 0,
+      [this](const Json& event) { apply_event(event); },
+      [this](const StoreResponse& response) { on_watch_response(response); });
 }
 
 void StateReplica::on_watch_response(const StoreResponse& response) {
   is_long_polling_ = false;
   std::vector<FreshnessHandler> readers = readers_.take_open_watch_readers();
-  std::optional<Revision> revision = response.status == 200 ? apply_events(response.body) : std::nullopt;
+  std::optional<Revision> revision = response.status == 200 ? watched_revision(response.body) : std::nullopt;
   if (!revision) {
     for (const FreshnessHandler& on_done : readers) on_done(false);
     // 410 means that changes since this revision are no longer available, so the keys are listed again.
     if (response.status == 410) return start();
     return retry_timer_.schedule(watch_retry_s);
   }
-  bool has_changes = !response.body.at("news").empty();
   freshness_.on_watch_response(*revision, response.sent_at);
   publish_freshness();
   forget_confirmed_removals();
   for (const FreshnessHandler& on_done : readers) on_done(true);
-  if (has_changes && on_change) on_change();
+  if (watch_progress_.has_changes && on_change) on_change();
   schedule_watch();
 }
 
-std::optional<Revision> StateReplica::apply_events(const Json& body) {
+void StateReplica::apply_event(const Json& event) {
+  if (watch_progress_.has_unreadable_event) return;
+  auto update = state::read_event(event);
+  if (!update) {
+    watch_progress_.has_unreadable_event = true;
+    return;
+  }
+  watch_progress_.has_changes = true;
+  apply_update(*update);
+}
+
+std::optional<Revision> StateReplica::watched_revision(const Json& body) const {
   auto revision = state::read_revision(body);
   auto events = body.find("news");
-  if (!revision || events == body.end() || !events->is_array()) {
-    log_unreadable_response("/watch", "a field is missing or invalid");
-    return std::nullopt;
-  }
-  for (const Json& event : *events) {
-    auto update = state::read_event(event);
-    if (!update) {
-      log_unreadable_response("/watch", "an event is invalid");
-      return std::nullopt;
-    }
-    apply_update(*update);
-  }
-  return revision;
+  if (revision && events != body.end() && events->is_array() && !watch_progress_.has_unreadable_event)
+    return revision;
+  log_unreadable_response("/watch", "a field or an event is missing or invalid");
+  return std::nullopt;
 }
 
 void StateReplica::forget_confirmed_removals() {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -37,7 +37,8 @@
 }
 
 /// Treats a response whose body is not a CBOR map as no response. The texts in the body are not checked.
-StoreResponse read_response(const net::Response& http_response, const std::string& path, double sent_at) {
+StoreResponse read_response(const net::Response& http_response, const std::string& path, double sent_at,
+                            const StoreEventHandler& on_event) {
   StoreResponse response;
   response.status = http_response.status;
   response.sent_at = sent_at;
@@ -45,7 +46,10 @@
   // One unreadable value must not hide the others, so the reader of each value checks its texts.
   wire::BodyRules rules = wire::large_body_rules;
   rules.text_check = wire::TextCheck::by_caller;
-  auto body = wire::decode_map(http_response.body, rules);
+  // What changed during a long silence is too much to be held as a whole.
+  wire::ListReader events{"news", on_event};
+  bool has_events = on_event && http_response.status == 200;
+  auto body = wire::decode_map(http_response.body, rules, has_events ? &events : nullptr);
   if (body) {
     response.body = std::move(*body);
     return response;
@@ -150,10 +154,10 @@
   if (is_counted && unanswered_++ == 0) last_response_at_ = sent_at;
   client.send(call.method, call.path, std::move(call.body), call.timeout_s,
               [this, sent_at, is_counted, on_response = std::move(call.on_response),
-               path = call.path](const net::Response& http_response) {
+               on_event = std::move(call.on_event), path = call.path](const net::Response& http_response) {
                 if (is_counted) --unanswered_;
                 if (is_counted && http_response.status != 0) last_response_at_ = clock_();
-                StoreResponse response = read_response(http_response, path, sent_at);
+                StoreResponse response = read_response(http_response, path, sent_at, on_event);
                 record_response(http_response.status, response.status);
                 on_response(response);
                 if (is_counted) dispatch();
@@ -207,11 +211,14 @@
   send_lease_call(EVHTTP_REQ_DELETE, lease_path(id), "", std::move(on_response));
 }
 
-void Store::watch(const std::string& prefix, Revision from, double wait_s, StoreResponseHandler on_response) {
+void Store::watch(const std::string& prefix, Revision from, double wait_s, StoreEventHandler on_event,
+                  StoreResponseHandler on_response) {
   request_limit_.take(1, clock_());
   std::string path = std::string(path::watch) + "?prefix=" + prefix + "&from=" + std::to_string(from) +
                      "&hold_ms=" + std::to_string(static_cast<int>(wait_s * 1000));
-  send(watch_client_, {EVHTTP_REQ_GET, path, "", 0, wait_s + watch_timeout_margin_s, std::move(on_response)});
+  Call call{EVHTTP_REQ_GET, path, "", 0, wait_s + watch_timeout_margin_s, std::move(on_response)};
+  call.on_event = std::move(on_event);
+  send(watch_client_, std::move(call));
 }
 
 }  // namespace oxbowmill::state
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -9,24 +9,92 @@
 
 namespace {
 
-/// Receives the items of a body in their order and builds the value. Stops at the limit of nesting, because
-/// the decoder calls itself for each level.
-class NestingLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+/// Receives the parts of a body in their order and builds its content. Stops at the limit of nesting, because
+/// the decoder calls itself for each level. The items of the list that is read item by item are built and
+/// handled one after another; in the content this list is empty.
+class BodyBuilder {
  public:
-  NestingLimitedBuilder(Json& out, std::size_t max_nesting)
-      : json_sax_dom_parser(out), max_nesting_(max_nesting) {}
-  bool start_object(std::size_t size) { return enter() && json_sax_dom_parser::start_object(size); }
-  bool end_object() { return leave() && json_sax_dom_parser::end_object(); }
-  bool start_array(std::size_t size) { return enter() && json_sax_dom_parser::start_array(size); }
-  bool end_array() { return leave() && json_sax_dom_parser::end_array(); }
+  /// `list` is null if no list is read item by item.
+  BodyBuilder(Json& content, std::size_t max_nesting, const ListReader* list)
+      : content_builder_(content), max_nesting_(max_nesting), list_(list) {}
+
+  bool null() {
+    return add_scalar([](Builder& builder) { return builder.null(); });
+  }
+  bool boolean(bool value) {
+    return add_scalar([value](Builder& builder) { return builder.boolean(value); });
+  }
+  bool number_integer(Json::number_integer_t value) {
+    return add_scalar([value](Builder& builder) { return builder.number_integer(value); });
+  }
+  bool number_unsigned(Json::number_unsigned_t value) {
+    return add_scalar([value](Builder& builder) { return builder.number_unsigned(value); });
+  }
+  bool number_float(Json::number_float_t value, const Json::string_t& text) {
+    return add_scalar([value, &text](Builder& builder) { return builder.number_float(value, text); });
+  }
+  bool string(Json::string_t& value) {
+    return add_scalar([&value](Builder& builder) { return builder.string(value); });
+  }
+  bool binary(Json::binary_t& value) {
+    return add_scalar([&value](Builder& builder) { return builder.binary(value); });
+  }
+  bool key(Json::string_t& name) {
+    if (nesting_ == 1) field_ = name;
+    return builder().key(name);
+  }
+
+  bool start_object(std::size_t size) { return open() && builder().start_object(size); }
+  bool end_object() { return builder().end_object() && close(); }
+  bool start_array(std::size_t size) {
+    bool starts_list = list_ != nullptr && nesting_ == 1 && field_ == list_->field;
+    if (!open() || !builder().start_array(size)) return false;
+    is_in_list_ = is_in_list_ || starts_list;
+    return true;
+  }
+  bool end_array() {
+    if (nesting_ == list_nesting) is_in_list_ = false;
+    return builder().end_array() && close();
+  }
+  template <class Exception>
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/, const Exception& error) {
+    throw error;
+  }
 
  private:
-  bool enter() { return ++nesting_ <= max_nesting_; }
-  bool leave() {
+  using Builder = nlohmann::detail::json_sax_dom_parser<Json>;
+  static constexpr std::size_t list_nesting = 2;  // open maps and lists between two items of the list
+
+  Builder& builder() { return is_in_list_ ? *item_builder_ : content_builder_; }
+  bool is_between_items() const { return is_in_list_ && nesting_ == list_nesting; }
+  void start_item() {
+    item_ = Json();
+    item_builder_.emplace(item_);
+  }
+  template <class Add>
+  bool add_scalar(const Add& add) {
+    if (is_between_items()) start_item();
+    if (!add(builder())) return false;
+    if (is_between_items()) list_->on_item(item_);
+    return true;
+  }
+  bool open() {
+    if (is_between_items()) start_item();
+    return ++nesting_ <= max_nesting_;
+  }
+  bool close() {
     --nesting_;
+    if (is_between_items()) list_->on_item(item_);
     return true;
   }
+
+  Builder content_builder_;
+  std::optional<Builder> item_builder_;
+  Json item_;
+  std::string field_;  // of the top level; the last one that began
   std::size_t max_nesting_, nesting_ = 0;
+  const ListReader* list_;
+  bool is_in_list_ = false;
 };
 
 bool is_valid_text(const Json& json) {
@@ -65,11 +133,11 @@
   return decoded;
 }
 
-DecodedMap decode_map(const std::string& body, const BodyRules& rules) {
+DecodedMap decode_map(const std::string& body, const BodyRules& rules, const ListReader* list) {
   if (body.size() > rules.max_size)
     return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
   Json json;
-  NestingLimitedBuilder builder(json, rules.max_nesting);
+  BodyBuilder builder(json, rules.max_nesting, list);
   // The library's option against exceptions covers errors of syntax alone: a count that a JSON value cannot
   // hold is thrown all the same.
   try {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -145,6 +145,41 @@
   EXPECT_FALSE(wire::decode_map(wire::encode({{"x", std::string(wire::max_body_size, 'x')}})));
 }
 
+TEST(Codec, ListReaderGetsEachItemAndTheContentHasTheRest) {
+  // Guards against items that are lost, mixed up or taken from a list of the same name at another place.
+  const Json lists[] = {Json::array(), Json::array({1, "two", nullptr, true, -4, 2.5}),
+                        Json::array({Json::object(), Json::array(), Json::array({Json::array()})}),
+                        Json::array({{{"put", "o/c/1"}, {"value", {{"a", {{1, "m", 2}}}}}, {"stamp", 7}},
+                                     {{"delete", "o/c/2"}, {"stamp", 8}},
+                                     {{"news", {1, 2}}, {"stamp", 9}}})};
+  for (const Json& list : lists) {
+    const Json before = {{"news", {5}}}, after = {{{"news", 6}}};
+    const Json message = {{"a", before}, {"news", list}, {"z", after}, {"ledger_rev", 9}};
+    Json items = Json::array();
+    wire::ListReader reader{"news", [&items](const Json& item) { items.push_back(item); }};
+    auto content = wire::decode_map(wire::encode(message), {}, &reader);
+    ASSERT_TRUE(content);
+    EXPECT_EQ(items, list);
+    EXPECT_EQ(*content, Json({{"a", before}, {"news", Json::array()}, {"z", after}, {"ledger_rev", 9}}));
+    EXPECT_EQ(*wire::decode_map(wire::encode(message)), message) << "without a reader nothing is left out";
+  }
+}
+
+TEST(Codec, ListReaderIsCalledForListsAlone) {
+  int items = 0;
+  wire::ListReader reader{"news", [&items](const Json&) { ++items; }};
+  for (const Json& message : {Json{{"news", 1}}, Json{{"news", {{"news", {1}}}}}, Json{{"other", {1, 2}}}}) {
+    auto content = wire::decode_map(wire::encode(message), {}, &reader);
+    ASSERT_TRUE(content);
+    EXPECT_EQ(*content, message);
+  }
+  EXPECT_FALSE(wire::decode_map(wire::encode(Json::array({Json::array({1})})), {}, &reader));
+  EXPECT_EQ(items, 0);
+  std::string body = wire::encode({{"news", {1, 2, 3}}});
+  EXPECT_FALSE(wire::decode_map(body.substr(0, body.size() - 1), {}, &reader));
+  EXPECT_EQ(items, 2) << "the items before the error";
+}
+
 TEST(Codec, SubmissionRoundTrip) {
   Names names = simulation::test_names();
   JobSpec spec;
