--- a/include/oxbowmill/state/responses.h
+++ b/include/oxbowmill/state/responses.h
@@ -17,14 +17,26 @@
   Revision revision = 0;              ///< of the key's last change
 };
 
+/// A page of keys.
+struct KeyPage {
+  const wire::Json* items = nullptr;  ///< list of keys, for `read_key`; part of the response
+  Revision revision = 0;              ///< of the state service when it listed the keys
+  bool has_more = false;              ///< whether more pages follow
+};
+
+/// Field of the list of events in the response to a watch.
+constexpr const char* events_field = "news";
+
 /// Reads the response for a single key, or an item of a page of keys.
 std::optional<KeyUpdate> read_key(const wire::Json& item);
 /// Reads an event of the response to a watch.
 std::optional<KeyUpdate> read_event(const wire::Json& event);
-/// Reads the revision of the state service in a page, a watch or the response to a transaction.
+/// Reads the revision of the state service in the response to a transaction.
 std::optional<Revision> read_revision(const wire::Json& body);
-/// Reads whether more pages follow this one.
-std::optional<bool> read_has_more(const wire::Json& body);
+/// Reads the revision of the response to a watch, which must have a list of events.
+std::optional<Revision> read_watch_revision(const wire::Json& body);
+/// Reads a page of keys.
+std::optional<KeyPage> read_page(const wire::Json& body);
 /// Reads the id of a granted lease.
 std::optional<std::uint64_t> read_lease_id(const wire::Json& body);
 
--- a/src/service/state_replica.cpp
+++ b/src/service/state_replica.cpp
@@ -65,16 +65,14 @@
 
 void StateReplica::on_page(const StoreResponse& response) {
   if (response.status != 200) return retry_timer_.schedule(list_retry_s);
-  auto items = response.body.find("items");
-  auto revision = state::read_revision(response.body);
-  auto has_more = state::read_has_more(response.body);
-  if (items == response.body.end() || !items->is_array() || !revision || !has_more) {
+  auto page = state::read_page(response.body);
+  if (!page) {
     log_unreadable_response("/store", "a field of the page is missing or invalid");
     return retry_timer_.schedule(list_retry_s);
   }
-  freshness_.on_page(*revision, response.sent_at);
+  freshness_.on_page(page->revision, response.sent_at);
   std::string last_key;
-  for (const Json& item : *items) {
+  for (const Json& item : *page->items) {
     auto listed = state::read_key(item);
     if (!listed) {
       log_unreadable_response("/store", "an item of the page is invalid");
@@ -84,7 +82,7 @@
     listed_keys_.insert(last_key);
     apply_update(*listed);
   }
-  if (*has_more && !last_key.empty()) return request_page(last_key);
+  if (page->has_more && !last_key.empty()) return request_page(last_key);
   on_listing_finished();
 }
 
@@ -166,10 +164,8 @@
 }
 
 std::optional<Revision> StateReplica::watched_revision(const Json& body) const {
-  auto revision = state::read_revision(body);
-  auto events = body.find("news");
-  if (revision && events != body.end() && events->is_array() && !watch_progress_.has_unreadable_event)
-    return revision;
+  auto revision = state::read_watch_revision(body);
+  if (revision && !watch_progress_.has_unreadable_event) return revision;
   log_unreadable_response("/watch", "a field or an event is missing or invalid");
   return std::nullopt;
 }
--- a/src/state/responses.cpp
+++ b/src/state/responses.cpp
@@ -13,6 +13,7 @@
 constexpr const char* put = "put";
 constexpr const char* removed = "delete";
 constexpr const char* revision = "ledger_rev";
+constexpr const char* items = "items";
 constexpr const char* has_more = "truncated";
 constexpr const char* lease_id = "grant";
 }  // namespace field
@@ -29,6 +30,12 @@
   return it->get<std::string>();
 }
 
+/// The list in the field; nullptr if it is missing or no list.
+const Json* find_list(const Json& json, const char* name) {
+  auto it = json.find(name);
+  return it != json.end() && it->is_array() ? &*it : nullptr;
+}
+
 /// A key with its value; the name of the key is in the field `key_field`.
 std::optional<KeyUpdate> read_value(const Json& json, const char* key_field) {
   auto key = read_name(json, key_field);
@@ -56,10 +63,16 @@
   return read_integer(body, field::revision);
 }
 
-std::optional<bool> read_has_more(const Json& body) {
-  auto it = body.find(field::has_more);
-  if (it == body.end() || !it->is_boolean()) return std::nullopt;
-  return it->get<bool>();
+std::optional<Revision> read_watch_revision(const Json& body) {
+  return find_list(body, events_field) != nullptr ? read_revision(body) : std::nullopt;
+}
+
+std::optional<KeyPage> read_page(const Json& body) {
+  const Json* items = find_list(body, field::items);
+  auto revision = read_revision(body);
+  auto has_more = body.find(field::has_more);
+  if (items == nullptr || !revision || has_more == body.end() || !has_more->is_boolean()) return std::nullopt;
+  return KeyPage{items, *revision, has_more->get<bool>()};
 }
 
 std::optional<std::uint64_t> read_lease_id(const Json& body) {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "oxbowmill/state/responses.h"
+
 namespace oxbowmill::state {
 
 namespace {
@@ -47,7 +49,7 @@
   wire::BodyRules rules = wire::large_body_rules;
   rules.text_check = wire::TextCheck::by_caller;
   // What changed during a long silence is too much to be held as a whole.
-  wire::ListReader events{"news", on_event};
+  wire::ListReader events{events_field, on_event};
   bool has_events = on_event && http_response.status == 200;
   auto body = wire::decode_map(http_response.body, rules, has_events ? &events : nullptr);
   if (body) {
