--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -51,8 +51,11 @@
   static DecodedMap invalid(std::string reason);
   /// Whether there is content.
   explicit operator bool() const { return map_.has_value(); }
+  /// The content. There must be some.
   const Json& operator*() const { return *map_; }
+  /// The content, which may be moved from. There must be some.
   Json& operator*() { return *map_; }
+  /// The content. There must be some.
   const Json* operator->() const { return &*map_; }
   /// What is wrong with the body; empty if there is content.
   const std::string& error() const { return error_; }
