Nested strings of indefinite length end no controller

What callers saw: controllers kept ending by themselves. A submission of 60,000 bytes got no answer; the user sent it again, and each sending ended the next controller, without a line in its log.

Cause: the library's CBOR decoder calls itself for each level of arrays, maps and also of strings of indefinite length (0x5f, 0x7f). The limit on nesting counted arrays and maps alone, and requests had no limit at all but the size of their body: stack in proportion to what a user sends, on every way by which bodies enter.

Change: a scan of the syntax (RFC 8949, appendix C) without recursion stands in front of the decoder, in decode_map, by which all bodies are decoded. It refuses what is not well-formed, strings within strings of indefinite length among it, and cuts out what is deeper than 64 levels, where no message has more than 6; an empty byte string, which no field may hold, takes its place. So the decoder, copies, checks and logging of its content recurse over 64 levels at most. A check in front was preferred to another library's streaming decoder: what is accepted stays the same by construction, and services need no new package.

--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -28,13 +28,15 @@
 struct BodyRules {
   std::size_t max_size = max_body_size;  ///< in bytes
   /// Levels of maps and arrays. The default admits every body of up to `max_body_size` bytes, since fields
-  /// that the receiver does not know must be ignored. Decoding such a body takes up to 6 MB of stack.
+  /// that the receiver does not know must be ignored.
   std::size_t max_nesting = max_body_size;
   TextCheck text_check = TextCheck::whole_body;  ///< who checks the texts
 };
-/// For bodies that no protocol limits in size, which could exhaust the stack by their nesting. No message has
-/// more than 6 levels.
-constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), 64, TextCheck::whole_body};
+/// Levels of maps and arrays that are kept of a body. No message has more than 6 levels.
+constexpr std::size_t max_kept_nesting = 64;
+/// For bodies that no protocol limits in size.
+constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), max_kept_nesting,
+                                     TextCheck::whole_body};
 
 /// Reads a list item by item, so that a long one takes no more memory than its body and its largest item.
 struct ListReader {
@@ -67,10 +69,11 @@
 };
 
 /// Decodes a body. It has no content if it is not CBOR, has trailing bytes, is too large, is nested too
-/// deeply, is not a map or holds a text that is not UTF-8.
+/// deeply, is not a map or holds a text that is not UTF-8. Maps and arrays deeper than `max_kept_nesting`
+/// levels are empty byte strings in the content. The stack that is used does not depend on the body.
 ///
-/// With `list`, that list is empty in the content, and its items are handled while the body is decoded: those
-/// before an error too. Their texts are not checked.
+/// With `list`, that list is empty in the content, and its items are handled while the body is decoded. Their
+/// texts are not checked. No item of a body that is not well-formed CBOR is handled.
 DecodedMap decode_map(const std::string& body, const BodyRules& rules = {}, const ListReader* list = nullptr);
 /// Encodes a body as CBOR.
 std::string encode(const Json& json);
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cbor_scanner.h"
 #include "field_reader.h"
 #include "oxbowmill/utf8.h"
 
@@ -9,14 +10,12 @@
 
 namespace {
 
-/// Receives the parts of a body in their order and builds its content. Stops at the limit of nesting, because
-/// the decoder calls itself for each level. The items of the list that is read item by item are built and
-/// handled one after another; in the content this list is empty.
+/// Receives the parts of a body in their order and builds its content. The items of the list that is read
+/// item by item are built and handled one after another; in the content this list is empty.
 class BodyBuilder {
  public:
   /// `list` is null if no list is read item by item.
-  BodyBuilder(Json& content, std::size_t max_nesting, const ListReader* list)
-      : content_builder_(content), max_nesting_(max_nesting), list_(list) {}
+  BodyBuilder(Json& content, const ListReader* list) : content_builder_(content), list_(list) {}
 
   bool null() {
     return add_scalar([](Builder& builder) { return builder.null(); });
@@ -44,11 +43,15 @@
     return builder().key(name);
   }
 
-  bool start_object(std::size_t size) { return open() && builder().start_object(size); }
+  bool start_object(std::size_t size) {
+    open();
+    return builder().start_object(size);
+  }
   bool end_object() { return builder().end_object() && close(); }
   bool start_array(std::size_t size) {
     bool starts_list = list_ != nullptr && nesting_ == 1 && field_ == list_->field;
-    if (!open() || !builder().start_array(size)) return false;
+    open();
+    if (!builder().start_array(size)) return false;
     is_in_list_ = is_in_list_ || starts_list;
     return true;
   }
@@ -78,9 +81,9 @@
     if (is_between_items()) list_->on_item(item_);
     return true;
   }
-  bool open() {
+  void open() {
     if (is_between_items()) start_item();
-    return ++nesting_ <= max_nesting_;
+    ++nesting_;
   }
   bool close() {
     --nesting_;
@@ -92,7 +95,7 @@
   std::optional<Builder> item_builder_;
   Json item_;
   std::string field_;  // of the top level; the last one that began
-  std::size_t max_nesting_, nesting_ = 0;
+  std::size_t nesting_ = 0;
   const ListReader* list_;
   bool is_in_list_ = false;
 };
@@ -109,15 +112,21 @@
     const Json& next = *unchecked.back();
     unchecked.pop_back();
     if (!is_valid_text(next)) return false;
-    if (!next.is_structured()) continue;
-    for (const auto& [name, item] : next.items()) {
-      if (next.is_object() && !is_valid_utf8(name)) return false;
-      unchecked.push_back(&item);
+    // Iterators, because items() makes a text of each index of an array.
+    for (auto item = next.begin(); item != next.end() && next.is_structured(); ++item) {
+      if (next.is_object() && !is_valid_utf8(item.key())) return false;
+      if (item->is_string() || item->is_structured()) unchecked.push_back(&*item);
     }
   }
   return true;
 }
 
+/// Whether the first item of a body that is not empty is a map.
+bool begins_map(const std::string& body) {
+  constexpr unsigned major_type_shift = 5, map_type = 5;
+  return static_cast<std::uint8_t>(body.front()) >> major_type_shift == map_type;
+}
+
 /// The library's message without the number of the exception, which stands before it in brackets.
 std::string message_of(const Json::exception& error) {
   std::string message = error.what();
@@ -136,17 +145,18 @@
 DecodedMap decode_map(const std::string& body, const BodyRules& rules, const ListReader* list) {
   if (body.size() > rules.max_size)
     return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
+  // The library's decoder calls itself for each level, so it gets only bodies with few of them.
+  ScannedBody scanned = scan_cbor(body, {rules.max_nesting, max_kept_nesting});
+  if (!scanned.error.empty()) return DecodedMap::invalid(std::move(scanned.error));
+  if (!begins_map(body)) return DecodedMap::invalid("not a map");
   Json json;
-  BodyBuilder builder(json, rules.max_nesting, list);
-  // The library's option against exceptions covers errors of syntax alone: a count that a JSON value cannot
-  // hold is thrown all the same.
+  BodyBuilder builder(json, list);
+  // Tags, for example, are well-formed, but the library does not accept them.
   try {
-    if (!Json::sax_parse(body, &builder, Json::input_format_t::cbor))
-      return DecodedMap::invalid("nested more than " + std::to_string(rules.max_nesting) + " levels deep");
+    Json::sax_parse(scanned.trimmed ? *scanned.trimmed : body, &builder, Json::input_format_t::cbor);
   } catch (const Json::exception& error) {
     return DecodedMap::invalid("not CBOR: " + message_of(error));
   }
-  if (!json.is_object()) return DecodedMap::invalid("not a map");
   if (rules.text_check == TextCheck::whole_body) {
     if (auto invalid_text = find_invalid_text(json)) return DecodedMap::invalid(*invalid_text);
   }
--- /dev/null
+++ b/src/wire/cbor_scanner.h
@@ -0,0 +1,29 @@
+// Checks the syntax of a CBOR body (RFC 8949, appendix C) without recursion, and cuts out what is nested too
+// deeply to be decoded by a recursive decoder. Stateless.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace oxbowmill::wire {
+
+/// Levels of maps, arrays and their content.
+struct NestingLimits {
+  std::size_t accepted;  ///< a body with more levels is refused
+  std::size_t kept;      ///< maps and arrays below this level are cut out
+};
+
+/// Result of a scan.
+struct ScannedBody {
+  std::string error;  ///< why the body is refused; empty if it is not
+  /// The body with an empty byte string, which no field of a message may hold, for each map or array that was
+  /// cut out; empty if there is none.
+  std::optional<std::string> trimmed;
+};
+
+/// Scans a body. It is refused if it is not exactly one well-formed item or is nested too deeply. Takes time
+/// and memory in proportion to the size of the body, and a fixed amount of stack.
+ScannedBody scan_cbor(const std::string& body, const NestingLimits& limits);
+
+}  // namespace oxbowmill::wire
