A controller that ends by a signal or an exception leaves a line that says why

Neither the signal nor the request that brought it about could be read from the logs.

Change: HTTP server and client note the message that is being handled, in memory that a signal handler can read. Handlers of fatal signals, on a stack of their own, and of uncaught exceptions write one line with signal or exception, message, sender, size and version; the program then ends as before. The line of a refused message says its size.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "oxbowmill/service/controller.h"
+#include "oxbowmill/service/crash_report.h"
 #include "oxbowmill/version.h"
 
 namespace {
@@ -101,7 +102,7 @@
     reload.controller = &controller;
     event_base_dispatch(base.get());
   } catch (const std::exception& error) {
-    SPDLOG_ERROR("controller failed: {}", error.what());
+    oxbowmill::service::log_failure(error.what());
     return exit_failure;
   }
   return 0;
@@ -111,6 +112,7 @@
 
 int main(int argc, char** argv) {
   configure_logging();
+  oxbowmill::service::report_crashes();
   Arguments arguments;
   if (auto exit_status = parse_arguments(argc, argv, arguments)) return *exit_status;
   auto config = load_settings(arguments);
--- a/include/oxbowmill/service/malformed_message_log.h
+++ b/include/oxbowmill/service/malformed_message_log.h
@@ -1,6 +1,7 @@
 // Logs unreadable messages without letting a faulty sender flood the log. Event loop thread only.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -16,15 +17,23 @@
   std::string reason;  ///< what is wrong with it
 };
 
-/// Logs at most one line for each kind of message, sender and reason.
+/// Counts refused messages. Logs at most one line for each kind of message, sender and reason, and one
+/// whenever the count of a kind reaches 10, 100 and so on.
 class MalformedMessageLog {
  public:
-  /// Logs the message, unless an equal one has been logged before. Stops logging messages of a kind after a
-  /// fixed number of lines.
+  /// Counts the message that is being handled, and logs it with its size unless an equal one has been logged
+  /// before. Stops logging messages of a kind after a fixed number of lines.
   void record(const MalformedMessage& message);
+  /// Number of messages of this kind that were refused.
+  std::uint64_t count(const std::string& kind) const;
 
  private:
-  std::map<std::string, std::set<std::string>> logged_;  // senders and reasons by kind
+  struct Refused {
+    Refused();
+    std::set<std::string> logged;  // senders and reasons
+    std::uint64_t count = 0, next_logged_count;
+  };
+  std::map<std::string, Refused> refused_;  // by kind
 };
 
 /// The text in a field that names the sender, or `otherwise` if there is no body or no such name.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 
 #include "event_util.h"
+#include "oxbowmill/net/current_message.h"
 
 namespace oxbowmill::net {
 
@@ -116,7 +117,9 @@
   auto finished = std::move(queued->connection->request);
   // The next request must not start inside this callback, because evhttp still uses the connection.
   client->dispatch_timer_.schedule(0);
-  finished->on_response(read_response(raw_request));
+  Response response = read_response(raw_request);
+  MessageScope scope("response", finished->path, to_string(client->address_), response.body.size());
+  finished->on_response(response);
 }
 
 void send_once(event_base* base, const Address& destination, evhttp_cmd_type method, const std::string& path,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "event_util.h"
+#include "oxbowmill/net/current_message.h"
 
 namespace oxbowmill::net {
 
@@ -16,6 +17,21 @@
 constexpr ssize_t max_headers_size = ssize_t{16} * 1024;
 constexpr int idle_timeout_s = 60;
 constexpr int unanswered_retry_after_s = 1;
+
+const char* method_name(evhttp_cmd_type method) {
+  switch (method) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "other";
+  }
+}
 }  // namespace
 
 Responder::~Responder() {
@@ -104,6 +120,7 @@
   request.peer_host = peer_host_of(connection);
   server->pending_responders_[connection] = request.responder.get();
   evhttp_connection_set_closecb(connection, &HttpServer::on_close, server);
+  MessageScope scope(method_name(request.method), request.path, request.peer_host, request.body.size());
   server->handler_(std::move(request));
 }
 
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -56,7 +56,8 @@
     response.body = std::move(*body);
     return response;
   }
-  SPDLOG_ERROR("state service response unreadable path={} reason={}", path, wire::to_json_text(body.error()));
+  SPDLOG_ERROR("state service response unreadable path={} reason={} size={}", path,
+               wire::to_json_text(body.error()), http_response.body.size());
   response.status = 0;
   response.body = Json::object();
   return response;
