--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -31,12 +31,14 @@
   /// that the receiver does not know must be ignored.
   std::size_t max_nesting = max_body_size;
   TextCheck text_check = TextCheck::whole_body;  ///< who checks the texts
+  /// Items, at any depth, in an array or map that is a field of the body. One with more items is an empty
+  /// byte string in the content.
+  std::size_t max_field_items = std::numeric_limits<std::size_t>::max();
 };
 /// Levels of maps and arrays that are kept of a body. No message has more than 6 levels.
 constexpr std::size_t max_kept_nesting = 64;
 /// For bodies that no protocol limits in size.
-constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), max_kept_nesting,
-                                     TextCheck::whole_body};
+constexpr BodyRules large_body_rules{std::numeric_limits<std::size_t>::max(), max_kept_nesting};
 
 /// Reads a list item by item, so that a long one takes no more memory than its body and its largest item.
 struct ListReader {
--- a/include/oxbowmill/wire/submission_codec.h
+++ b/include/oxbowmill/wire/submission_codec.h
@@ -13,6 +13,9 @@
 
 namespace oxbowmill::wire {
 
+/// For submissions. No field has more than the 64 items of a list of machine types.
+constexpr BodyRules submission_rules{max_body_size, max_body_size, TextCheck::whole_body, 256};
+
 /// Reason for rejecting a submission.
 struct Rejection {
   int status = 400;    ///< HTTP status: 400: malformed; 422: well-formed, but the job can never run
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -132,7 +132,7 @@
 
 void SubmissionService::submit(const net::Request& request) {
   const net::ResponderPtr& responder = request.responder;
-  auto body = wire::decode_map(request.body);
+  auto body = wire::decode_map(request.body, wire::submission_rules);
   if (!body) return refuse_malformed(request, body, body.error());
   double first_attempt_at = first_attempts_.record_attempt(*body, wall_clock_());
   if (is_overloaded()) return reply_unavailable(responder);
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -146,7 +146,7 @@
   if (body.size() > rules.max_size)
     return DecodedMap::invalid("larger than " + std::to_string(rules.max_size) + " bytes");
   // The library's decoder calls itself for each level, so it gets only bodies with few of them.
-  ScannedBody scanned = scan_cbor(body, {rules.max_nesting, max_kept_nesting});
+  ScannedBody scanned = scan_cbor(body, {rules.max_nesting, max_kept_nesting, rules.max_field_items});
   if (!scanned.error.empty()) return DecodedMap::invalid(std::move(scanned.error));
   if (!begins_map(body)) return DecodedMap::invalid("not a map");
   Json json;
--- a/src/wire/cbor_scanner.cpp
+++ b/src/wire/cbor_scanner.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint64_t first_two_byte_simple_value = 32;
 constexpr unsigned bits_per_byte = 8;
 
+// Maps and arrays that are open where a field of the body's map begins.
+constexpr std::size_t field_nesting = 1;
+
 /// First byte of an item and the argument behind it.
 struct ItemHead {
   MajorType type;
@@ -47,7 +50,7 @@
 
 class Scanner {
  public:
-  Scanner(const std::string& body, const NestingLimits& limits)
+  Scanner(const std::string& body, const ScanLimits& limits)
       : body_(body), limits_(limits), next_(body.begin()) {}
 
   ScannedBody scan() {
@@ -71,6 +74,7 @@
   /// Scans the head of an item and, unless it is an array or a map, the item.
   bool scan_item() {
     auto start = next_;
+    ++field_items_;
     ItemHead head{};
     if (!read_head(head)) return false;
     if (head.is_indefinite && head.type == MajorType::simple_or_float) return end_indefinite_container();
@@ -142,11 +146,12 @@
     // An item takes at least one byte.
     if (!head.is_indefinite && head.argument > bytes_left() / items_per_entry)
       return fail("fewer bytes than items");
-    if (open_.size() == limits_.accepted) {
-      error_ = "nested more than " + std::to_string(limits_.accepted) + " levels deep";
+    if (open_.size() == limits_.accepted_nesting) {
+      error_ = "nested more than " + std::to_string(limits_.accepted_nesting) + " levels deep";
       return false;
     }
-    if (open_.size() == limits_.kept) cut_start_ = start;
+    if (open_.size() == limits_.kept_nesting) cut_start_ = start;
+    if (open_.size() == field_nesting) begin_field(start);
     is_behind_tag_ = false;
     open_.push_back(
         {head.is_indefinite ? OpenContainer::indefinite : head.argument * items_per_entry, is_map, is_map});
@@ -167,7 +172,8 @@
 
   void close_container() {
     open_.pop_back();
-    if (open_.size() == limits_.kept) cut();
+    if (open_.size() == limits_.kept_nesting) cut();
+    if (open_.size() == field_nesting && field_items_ > limits_.max_field_items) cut_field();
     complete_item();
   }
 
@@ -180,6 +186,21 @@
     container.is_at_key = container.is_map && !container.is_at_key;
   }
 
+  void begin_field(std::size_t start) {
+    field_start_ = start;
+    field_items_ = 0;
+    trimmed_before_field_ = trimmed_.size();
+    copied_before_field_ = copied_;
+  }
+
+  /// Replaces the field whose array or map has ended, whatever has been cut out of it.
+  void cut_field() {
+    trimmed_.resize(trimmed_before_field_);
+    copied_ = copied_before_field_;
+    cut_start_ = field_start_;
+    cut();
+  }
+
   /// Replaces what has been scanned since `cut_start_`.
   void cut() {
     trimmed_.append(body_, copied_, cut_start_ - copied_);
@@ -194,11 +215,13 @@
   }
 
   const std::string& body_;
-  NestingLimits limits_;
+  ScanLimits limits_;
   std::string::const_iterator next_;
   std::vector<OpenContainer> open_;
   bool is_behind_tag_ = false;  // the item that the last tag belongs to has not begun
   std::size_t cut_start_ = 0;
+  // Of the array or map that is a field of the body's map and began last.
+  std::size_t field_start_ = 0, field_items_ = 0, trimmed_before_field_ = 0, copied_before_field_ = 0;
   std::string trimmed_;     // copy of the first `copied_` bytes of the body, without what was cut out
   std::size_t copied_ = 0;  // 0: nothing was cut out so far
   std::string error_;
@@ -206,7 +229,7 @@
 
 }  // namespace
 
-ScannedBody scan_cbor(const std::string& body, const NestingLimits& limits) {
+ScannedBody scan_cbor(const std::string& body, const ScanLimits& limits) {
   return Scanner(body, limits).scan();
 }
 
--- a/src/wire/cbor_scanner.h
+++ b/src/wire/cbor_scanner.h
@@ -1,5 +1,5 @@
-// Checks the syntax of a CBOR body (RFC 8949, appendix C) without recursion, and cuts out what is nested too
-// deeply to be decoded by a recursive decoder. Stateless.
+// Checks the syntax of a CBOR body (RFC 8949, appendix C) without recursion, and cuts out what no message has
+// and a decoder should not be given. Stateless.
 #pragma once
 
 #include <cstddef>
@@ -8,10 +8,11 @@
 
 namespace oxbowmill::wire {
 
-/// Levels of maps, arrays and their content.
-struct NestingLimits {
-  std::size_t accepted;  ///< a body with more levels is refused
-  std::size_t kept;      ///< maps and arrays below this level are cut out
+/// What is refused or cut out.
+struct ScanLimits {
+  std::size_t accepted_nesting;  ///< a body with more levels of maps and arrays is refused
+  std::size_t kept_nesting;      ///< maps and arrays below this level are cut out
+  std::size_t max_field_items;   ///< a field of the body's map with more items, at any depth, is cut out
 };
 
 /// Result of a scan.
@@ -24,6 +25,6 @@
 
 /// Scans a body. It is refused if it is not exactly one well-formed item or is nested too deeply. Takes time
 /// and memory in proportion to the size of the body, and a fixed amount of stack.
-ScannedBody scan_cbor(const std::string& body, const NestingLimits& limits);
+ScannedBody scan_cbor(const std::string& body, const ScanLimits& limits);
 
 }  // namespace oxbowmill::wire
--- a/tests/malformed_depth_test.cpp
+++ b/tests/malformed_depth_test.cpp
@@ -22,22 +22,26 @@
   return is_valid && wire::decode_map(wire::encode(copy), rules);
 }
 
+/// Whether a body with a closed nested item at this position is a map whose keys are texts.
+bool is_readable(const NestingKind& kind, const BodyPosition& position) {
+  if (!kind.is_well_formed || !kind.is_in_json || position.name == "the key of a field") return false;
+  return position.name != "the body" || kind.name == "maps" || kind.name == "maps of indefinite length";
+}
+
+void expect_handled(const NestingKind& kind, const BodyPosition& position, bool is_closed) {
+  SCOPED_TRACE(kind.name + " as " + position.name + (is_closed ? "" : ", not closed"));
+  std::string request = position.before + nested_item(kind, request_size, is_closed) + position.after;
+  EXPECT_EQ(handle_body(request, {}), is_closed && is_readable(kind, position));
+  std::string response = position.before + nested_item(kind, response_size, is_closed) + position.after;
+  EXPECT_FALSE(handle_body(response, wire::large_body_rules));
+}
+
 TEST(MalformedDepth, DecodingTakesAFixedAmountOfStack) {
   run_on_small_stack([] {
     for (const NestingKind& kind : nesting_kinds()) {
       for (const BodyPosition& position : body_positions()) {
-        for (bool is_closed : {true, false}) {
-          SCOPED_TRACE(kind.name + " as " + position.name + (is_closed ? "" : ", not closed"));
-          bool is_field = position.name == "the value of a field";
-          std::string request = position.before + nested_item(kind, request_size, is_closed) + position.after;
-          bool is_map = position.before.empty() && (kind.name == "maps" || kind.begin[0] == '\xbf');
-          bool is_array_item = !position.before.empty() && position.after.empty() && !is_field;
-          bool is_readable = is_closed && kind.is_well_formed && kind.is_in_json;
-          EXPECT_EQ(handle_body(request, {}), is_readable && (is_field || is_map || is_array_item));
-          std::string response =
-              position.before + nested_item(kind, response_size, is_closed) + position.after;
-          EXPECT_FALSE(handle_body(response, wire::large_body_rules));
-        }
+        expect_handled(kind, position, true);
+        expect_handled(kind, position, false);
       }
     }
   });
@@ -93,6 +97,45 @@
   EXPECT_EQ(body->at("y"), Json({{2}}));
 }
 
+TEST(MalformedDepth, FieldWithMoreItemsThanAllowedIsCutOut) {
+  wire::BodyRules rules;
+  rules.max_field_items = 4;
+  Json deep = 1;
+  for (int level = 0; level < 100; ++level) deep = Json::array({deep});
+  const Json message = {{"a", {1, 2, 3, 4, 5}},
+                        {"b", {1, {{"x", "y"}}}},
+                        {"c", {1, deep, 2, 3, 4}},
+                        {"d", {{"e", 1}, {"f", 2}, {"g", 3}}},
+                        {"ref", "run-1"}};
+  auto body = wire::decode_map(wire::encode(message), rules);
+  ASSERT_TRUE(body) << body.error();
+  const Json cut_out = Json::binary({});
+  EXPECT_EQ(*body,
+            Json({{"a", cut_out}, {"b", message["b"]}, {"c", cut_out}, {"d", cut_out}, {"ref", "run-1"}}));
+  auto indefinite = wire::decode_map("\xbf\x61\x61\x9f\x01\x02\x03\x04\x05\xff\x61\x62\x01\xff", rules);
+  ASSERT_TRUE(indefinite) << indefinite.error();
+  EXPECT_EQ(*indefinite, Json({{"a", cut_out}, {"b", 1}}));
+}
+
+TEST(MalformedDepth, ListOfTooManyMachineTypesIsMalformedAndInAnUnknownFieldIgnored) {
+  Names names = simulation::test_names();
+  Json submission = make_submission("run-1");
+  auto read = [&] {
+    JobSpec spec;
+    auto body = wire::decode_map(wire::encode(submission), wire::submission_rules);
+    return body ? wire::read_submission(*body, names, spec) : wire::Rejection{400, body.error()};
+  };
+  submission["unknown"] = std::vector<int>(60'000, 1);
+  EXPECT_FALSE(read());
+  submission["rigs"] = std::vector<std::string>(64, names.types.name(TypeIndex{0}));
+  EXPECT_FALSE(read());
+  for (std::size_t count : {65, 1000}) {
+    submission["rigs"] = std::vector<std::string>(count, names.types.name(TypeIndex{0}));
+    ASSERT_TRUE(read()) << count;
+    EXPECT_EQ(read()->reason, "rigs: missing or invalid") << count;
+  }
+}
+
 TEST_F(ControllerProcess, NestedStringsOfIndefiniteLengthInRequestsEndNoController) {
   start_program();
   run_until_ready();
--- a/tests/random_bodies_test.cpp
+++ b/tests/random_bodies_test.cpp
@@ -57,7 +57,7 @@
 }
 
 BodyGenerator generator(std::uint64_t seed) {
-  return BodyGenerator(number_from_environment("OXBOW_BODIES_SEED", seed), messages());
+  return {number_from_environment("OXBOW_BODIES_SEED", seed), messages()};
 }
 
 std::string as_hex(const std::string& body) {
@@ -107,7 +107,7 @@
   market::Call call;
   wire::read_market_answer(call, 200, body, 0, names);
   service::decode_peer_update(body);
-  for (const wire::BodyRules& rules : {wire::BodyRules{}, wire::large_body_rules}) {
+  for (const wire::BodyRules& rules : {wire::BodyRules{}, wire::large_body_rules, wire::submission_rules}) {
     wire::ListReader events{state::events_field, [&](const Json& event) {
                               auto change = state::read_event(event);
                               if (change && is_valid_utf8(change->key) && change->value != nullptr &&
