--- a/tests/malformed_depth_test.cpp
+++ b/tests/malformed_depth_test.cpp
@@ -164,7 +164,8 @@
   std::string body = wire::encode(job);
   // The value is a text of five bytes, behind the head that holds its length.
   body.replace(body.find("value") - 1, 6, std::string(30'000, '\x81') + '\x80');
-  EXPECT_EQ(status_of(controller_address_, EVHTTP_REQ_POST, "/submissions", body), 201);
+  EXPECT_EQ(status_of(controller_address_, EVHTTP_REQ_POST, "/submissions", body), 201)
+      << "a field that the receiver does not know is ignored";
 }
 
 TEST_F(ControllerProcess, NestedStringsOfIndefiniteLengthInResponsesEndNoController) {
@@ -189,5 +190,17 @@
   EXPECT_TRUE(run_log_.duplicated_tasks.empty());
 }
 
+TEST_F(ControllerProcess, NestedStringsOfIndefiniteLengthInAnswersEndNoCommandLine) {
+  const NestingKind& kind = nesting_kinds().at(7);
+  net::HttpServer server(base_.get(), {"127.0.0.1", 0}, wire::max_body_size, [&](Request&& request) {
+    bool is_refusal = request.path.find("run-2") != std::string::npos;
+    request.responder->reply(is_refusal ? 404 : 200, "\xa1\x65phase" + nested_item(kind, request_size, true));
+  });
+  controller_address_ = server.address();
+  std::string output;
+  EXPECT_EQ(run_command_line("--patience 1 status run-1", output), 5) << output;
+  EXPECT_EQ(run_command_line("--patience 1 status run-2", output), 4) << output;
+}
+
 }  // namespace
 }  // namespace oxbowmill
