--- a/tests/body_generator.h
+++ b/tests/body_generator.h
@@ -176,7 +176,10 @@
   std::string nested_value() {
     is_deep_ = true;
     const NestingKind& kind = nesting_kinds()[below(nesting_kinds().size())];
-    return nested_item(kind, 100 + below(max_nested_size), below(2) == 0);
+    // A statement for each draw, because the order in which arguments are evaluated is unspecified.
+    std::size_t size = 100 + below(max_nested_size);
+    bool is_closed = below(2) == 0;
+    return nested_item(kind, size, is_closed);
   }
 
   std::string nested_body() {
@@ -184,6 +187,11 @@
     return position.before + nested_value() + position.after;
   }
 
+  std::string with_inserted_bytes(std::string body) {
+    std::size_t position = below(body.size());
+    return body.insert(position, bytes(1 + below(3)));
+  }
+
   /// Bytes that are cut short, continued, or in which one byte is another.
   std::string changed_bytes(std::string body) {
     if (body.empty()) return body;
@@ -193,7 +201,7 @@
       case 1:
         return body + bytes(1 + below(4));
       case 2:
-        return body.insert(below(body.size()), bytes(1 + below(3)));
+        return with_inserted_bytes(std::move(body));
       default:
         body[below(body.size())] = static_cast<char>(below(256));
         return body;
--- a/tests/random_bodies_test.cpp
+++ b/tests/random_bodies_test.cpp
@@ -145,7 +145,8 @@
   auto answer_some = [&](const Request& request) {
     if (!answers_are_random || bodies.below(4) != 0) return false;
     ++answers;
-    request.responder->reply(bodies.below(4) == 0 ? 503 : 200, bodies.next());
+    int status = bodies.below(4) == 0 ? 503 : 200;
+    request.responder->reply(status, bodies.next());
     return true;
   };
   answer_for_state_ = answer_some;
