--- a/review/stand_ins_2/network.py
+++ b/review/stand_ins_2/network.py
@@ -22,11 +22,14 @@
         if self.cut:
             await reader.read()  # nothing is answered, until the sender gives up
             return writer.close()
+        far = socket.socket()
+        far.setblocking(False)
         try:
-            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            await asyncio.get_running_loop().sock_connect(far, ("127.0.0.1", self.target))
         except OSError:
+            far.close()
             return writer.transport.abort()
-        link = Link(self, reader, writer, other_reader, other_writer)
+        link = Link(self, reader, writer, far)
         self.links.append(link)
         await link.run()
         self.links.remove(link)
@@ -41,9 +44,11 @@
 
 
 class Link:
-    def __init__(self, path, reader, writer, other_reader, other_writer):
-        self.path, self.reader, self.writer = path, reader, writer
-        self.other_reader, self.other_writer = other_reader, other_writer
+    """One connection: `reader` and `writer` lead to its sender, the socket `far` to the other host."""
+
+    def __init__(self, path, reader, writer, far):
+        self.path, self.reader, self.writer, self.far = path, reader, writer, far
+        self.loop = asyncio.get_running_loop()
         self.held, self.held_back, self.closed = [], [], False
 
     async def run(self):
@@ -53,41 +58,46 @@
                 if self.path.cut:
                     self.held.append(data)
                 else:
-                    self.other_writer.write(data)
-        except ConnectionError:
+                    await self.loop.sock_sendall(self.far, data)
+        except OSError:
             pass
         self.closed = True
         while self.path.cut:
             await asyncio.sleep(0.05)
-        self.other_writer.close()
-        self.writer.close()
         back.cancel()
+        self._close_far()
+        self.writer.close()
 
     async def _forward_back(self):
         try:
-            while data := await self.other_reader.read(1 << 16):
+            while data := await self.loop.sock_recv(self.far, 1 << 16):
                 if self.path.cut:
                     self.held_back.append(data)
                 else:
                     self.writer.write(data)
-        except ConnectionError:
+        except OSError:
             pass
         self.writer.close()
 
+    def _close_far(self):
+        if self.far.fileno() >= 0:
+            self.loop.remove_reader(self.far)
+            self.far.close()
+
     def release(self):
-        """After the cut. The host of a sender that has closed the connection delivers its last packets, and
-        since it no longer knows the connection, answers the other side's acknowledgement with a reset."""
-        for data in self.held:
-            self.other_writer.write(data)
-        if not self.closed:
+        """After the cut. The last packets of a sender that has closed the connection are delivered: what it
+        sent and the end of the connection. Then the connection, which its host no longer knows, is reset."""
+        try:
+            for data in self.held:
+                self.far.send(data)
+            if self.closed:
+                self.far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.far.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # the other host has ended the connection
+        if self.closed:
+            self._close_far()
+        else:
             for data in self.held_back:
                 self.writer.write(data)
-        else:
-            end = self.other_writer.get_extra_info("socket")
-            try:
-                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                end.shutdown(socket.SHUT_WR)
-            except OSError:
-                pass  # the other side has ended the connection
-            self.other_writer.transport.abort()
         return 1 if self.closed and self.held else 0
