Review 5: judged by tasks that complete, observed for 95 s

Cause: a late done is allowed, so the check asks less: of each accepted job one task has to complete.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 
 SHARDS = 2400  # of 100,000 that a job may have
 RUN_S = 5.0
-OBSERVED_S = 75.0
+OBSERVED_S = 95.0
 
 
 async def play(this):
@@ -40,10 +40,11 @@
                 answers[ref] = True
         this.log("tasks done=%d on machine=%d %s" % (
             len(world.done), sum(map(len, world.on_machine.values())), sorted(world.counts.items())))
-    for shard, count in sorted(world.run_counts.items())[:5]:
-        this.log("starts of %s: %d" % (shard, count))
-    this.log("jobs done: %s of 2; transactions refused as malformed: %s" % (len(answers), this.state.malformed))
-    return case.HELD if len(answers) == 2 else case.BROKEN
+    this.log("tasks started: %d; transactions refused as malformed: %s" % (
+        len(world.run_counts), this.state.malformed))
+    not_run = [ref for ref in world.jobs if not any(shard.startswith(ref + "/") for shard in world.done)]
+    this.log("jobs done: %s of 2; accepted jobs of which no task has completed: %s" % (len(answers), not_run))
+    return case.BROKEN if not_run else case.HELD
 
 
 case.main(FOLDER, play)
