--- a/app/main.cpp
+++ b/app/main.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 
+#include "oxbowmill/net/broken_pipe.h"
 #include "oxbowmill/service/controller.h"
 #include "oxbowmill/service/crash_report.h"
 #include "oxbowmill/version.h"
@@ -111,6 +112,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  oxbowmill::net::ignore_broken_pipe_signal();
   configure_logging();
   oxbowmill::service::report_crashes();
   Arguments arguments;
--- a/app/oxbowctl.cpp
+++ b/app/oxbowctl.cpp
@@ -9,6 +9,7 @@
 
 #include "oxbowmill/client/client.h"
 #include "oxbowmill/error.h"
+#include "oxbowmill/net/broken_pipe.h"
 #include "oxbowmill/version.h"
 #include "oxbowmill/yaml/map.h"
 
@@ -123,13 +124,14 @@
       json["error"] = reply.reason;
       json["again"] = client::is_retryable(reply.outcome);
     }
-    std::cout << wire::to_json_text(json) << std::endl;
+    std::cout << wire::to_json_text(json) << '\n';
   } else if (reply.outcome == RequestOutcome::ok) {
     std::cout << reply.status.ref << " " << reply.status.phase << " done " << reply.status.done_tasks
-              << " running " << reply.status.running_tasks << std::endl;
+              << " running " << reply.status.running_tasks << '\n';
   } else {
     std::cerr << "oxbowctl: " << reply.reason << '\n';
   }
+  net::flush_standard_output();
 }
 
 /// Values of the fields that the user may leave out.
@@ -265,6 +267,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  net::ignore_broken_pipe_signal();
   spdlog::set_level(spdlog::level::off);
   CommandLine command_line;
   try {
--- a/app/oxbowmill_sim.cpp
+++ b/app/oxbowmill_sim.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "oxbowmill/error.h"
+#include "oxbowmill/net/broken_pipe.h"
 #include "oxbowmill/simulation/cluster_experiment.h"
 #include "oxbowmill/simulation/decision_simulation.h"
 #include "oxbowmill/simulation/market_experiment.h"
@@ -237,6 +238,7 @@
 
 int main(int argc, char** argv) {
   constexpr int usage_error = 2;
+  net::ignore_broken_pipe_signal();
   set_up_logging();
   Options options;
   options.scale.program = (std::filesystem::path(argv[0]).parent_path() / "oxbowmill").string();
@@ -257,7 +259,9 @@
   add("market", "serve one simulated market of a scenario until the process is ended", add_market);
   try {
     app.parse(argc, argv);
-    return commands.at(app.get_subcommands().front())();
+    int status = commands.at(app.get_subcommands().front())();
+    net::flush_standard_output();
+    return status;
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : usage_error;
   } catch (const std::exception& error) {
--- a/include/oxbowmill/net/event_handles.h
+++ b/include/oxbowmill/net/event_handles.h
@@ -29,7 +29,8 @@
 /// Owns a connection of a client.
 using ConnectionPtr = std::unique_ptr<evhttp_connection, HandleDeleter>;
 
-/// Creates an event loop. Throws oxbowmill::Error if libevent cannot create one.
+/// Creates an event loop. Throws oxbowmill::Error if libevent cannot create one. From then on, SIGPIPE is
+/// ignored unless the program handles it itself: libevent writes to connections without regard to it.
 EventBasePtr make_event_base();
 
 }  // namespace oxbowmill::net
--- a/include/oxbowmill/net/http_client.h
+++ b/include/oxbowmill/net/http_client.h
@@ -9,6 +9,7 @@
 
 #include "oxbowmill/net/address.h"
 #include "oxbowmill/net/event_handles.h"
+#include "oxbowmill/net/logged_count.h"
 #include "oxbowmill/net/timer.h"
 
 namespace oxbowmill::net {
@@ -39,6 +40,8 @@
   std::size_t queued() const { return queue_.size(); }
   /// Whether a further request would have to wait for a connection.
   bool all_busy() const;
+  /// Number of requests that were sent and got no response. The peer may have executed them.
+  std::uint64_t unanswered() const { return unanswered_.count(); }
 
  private:
   struct QueuedRequest;
@@ -46,12 +49,14 @@
   void dispatch();
   void start(Connection& connection);
   static void on_done(evhttp_request* raw_request, void* arg);
+  void count_unanswered();
   event_base* base_;
   Address address_;
   std::size_t max_body_;
   std::vector<std::unique_ptr<Connection>> connections_;
   std::deque<std::unique_ptr<QueuedRequest>> queue_;
   Timer dispatch_timer_;
+  LoggedCount unanswered_;
 };
 
 /// Sends one request on a new connection, which is closed afterwards. `timeout_s` is in seconds.
--- a/include/oxbowmill/net/http_server.h
+++ b/include/oxbowmill/net/http_server.h
@@ -9,6 +9,7 @@
 #include "oxbowmill/error.h"
 #include "oxbowmill/net/address.h"
 #include "oxbowmill/net/event_handles.h"
+#include "oxbowmill/net/logged_count.h"
 
 namespace oxbowmill::net {
 
@@ -26,8 +27,9 @@
   Address address_;
 };
 
-/// Answers one request, at once or later. The answer is dropped if the connection has closed. An unanswered
-/// request is answered with 503 when its responder is destroyed.
+/// Answers one request, at once or later. The answer is dropped if the connection has closed, and counted if
+/// the connection closes while it is being sent. An unanswered request is answered with 503 when its
+/// responder is destroyed.
 class Responder {
  public:
   /// What the server does with the connection after an answer.
@@ -80,13 +82,17 @@
   void keep_alive_below(int socket_number) { keep_alive_below_ = socket_number; }
   /// The address on which the server listens. If port 0 was requested, it has the port that the system chose.
   const Address& address() const { return address_; }
+  /// Number of answers that were not sent in full because the connection closed.
+  std::uint64_t undelivered_answers() const { return undelivered_.count(); }
 
  private:
   static void on_request(evhttp_request* raw_request, void* self);
   static std::string peer_host_of(evhttp_connection* connection);
   static void on_close(evhttp_connection* connection, void* self);
+  static void on_close_before_sent(evhttp_connection* connection, void* self);
   Responder::AfterReply before_reply(evhttp_connection* connection);
   Handler handler_;
+  LoggedCount undelivered_;
   int keep_alive_below_ = 1 << 30;
   Address address_;
   std::unordered_map<evhttp_connection*, Responder*> pending_responders_;
--- a/include/oxbowmill/service/effect_sender.h
+++ b/include/oxbowmill/service/effect_sender.h
@@ -2,6 +2,9 @@
 // Event loop thread only.
 #pragma once
 
+#include <memory>
+
+#include "oxbowmill/net/logged_count.h"
 #include "oxbowmill/service/cloud_client.h"
 #include "oxbowmill/service/submission_service.h"
 #include "oxbowmill/service/write_queue.h"
@@ -37,6 +40,8 @@
   CloudClient& cloud_client_;
   std::function<double()> clock_;
   WriteQueue write_queue_;
+  // Shared with the requests in flight, which may end after the sender.
+  std::shared_ptr<net::LoggedCount> unanswered_commands_ = std::make_shared<net::LoggedCount>();
 };
 
 }  // namespace oxbowmill::service
--- a/include/oxbowmill/service/malformed_message_log.h
+++ b/include/oxbowmill/service/malformed_message_log.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "oxbowmill/net/logged_count.h"
 #include "oxbowmill/wire/cbor.h"
 
 namespace oxbowmill::service {
@@ -28,10 +29,10 @@
   std::uint64_t count(const std::string& kind) const;
 
  private:
+  static constexpr std::uint64_t first_logged_count = 10;  // the first messages have lines of their own
   struct Refused {
-    Refused();
     std::set<std::string> logged;  // senders and reasons
-    std::uint64_t count = 0, next_logged_count;
+    net::LoggedCount count{first_logged_count};
   };
   std::map<std::string, Refused> refused_;  // by kind
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "oxbowmill/net/http_client.h"
 
 #include <event2/keyvalq_struct.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -106,6 +107,7 @@
   if (evhttp_make_request(connection.handle.get(), raw_request, queued->method, queued->path.c_str()) != 0) {
     // In this case, evhttp frees the request without calling on_done.
     auto failed = std::move(connection.request);
+    count_unanswered();
     failed->on_response({});
   }
 }
@@ -118,10 +120,16 @@
   // The next request must not start inside this callback, because evhttp still uses the connection.
   client->dispatch_timer_.schedule(0);
   Response response = read_response(raw_request);
+  if (response.status == 0) client->count_unanswered();
   MessageScope scope("response", finished->path, to_string(client->address_), response.body.size());
   finished->on_response(response);
 }
 
+void HttpClient::count_unanswered() {
+  if (unanswered_.add())
+    SPDLOG_INFO("requests unanswered destination={} count={}", to_string(address_), unanswered_.count());
+}
+
 void send_once(event_base* base, const Address& destination, evhttp_cmd_type method, const std::string& path,
                const std::string& body, double timeout_s, ResponseHandler on_response) {
   evhttp_connection* connection =
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
+#include <spdlog/spdlog.h>
 
 #include <cstddef>
 #include <utility>
@@ -32,6 +33,12 @@
       return "other";
   }
 }
+
+/// The answer was sent in full, so the connection may close.
+void on_sent(evhttp_request* raw_request, void* /*unused*/) {
+  evhttp_connection* connection = evhttp_request_get_connection(raw_request);
+  if (connection != nullptr) evhttp_connection_set_closecb(connection, nullptr, nullptr);
+}
 }  // namespace
 
 Responder::~Responder() {
@@ -50,6 +57,7 @@
   if (retry_after_s > 0) evhttp_add_header(headers, "Retry-After", std::to_string(retry_after_s).c_str());
   std::unique_ptr<evbuffer, decltype(&evbuffer_free)> out(evbuffer_new(), evbuffer_free);
   evbuffer_add(out.get(), body.data(), body.size());
+  evhttp_request_set_on_complete_cb(raw_request, &on_sent, nullptr);
   evhttp_send_reply(raw_request, status, nullptr, out.get());
 }
 
@@ -89,6 +97,13 @@
   server->pending_responders_.erase(it);
 }
 
+void HttpServer::on_close_before_sent(evhttp_connection* /*connection*/, void* self) {
+  auto* server = static_cast<HttpServer*>(self);
+  if (server->undelivered_.add())
+    SPDLOG_INFO("answers not delivered bind={} count={}", to_string(server->address_),
+                server->undelivered_.count());
+}
+
 std::string HttpServer::peer_host_of(evhttp_connection* connection) {
   char* host = nullptr;
   ev_uint16_t port = 0;
@@ -98,7 +113,7 @@
 
 Responder::AfterReply HttpServer::before_reply(evhttp_connection* connection) {
   pending_responders_.erase(connection);
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  evhttp_connection_set_closecb(connection, &HttpServer::on_close_before_sent, this);
   return bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) >= keep_alive_below_
              ? Responder::AfterReply::close_connection
              : Responder::AfterReply::keep_connection;
--- a/src/net/timer.cpp
+++ b/src/net/timer.cpp
@@ -4,10 +4,12 @@
 
 #include "event_util.h"
 #include "oxbowmill/error.h"
+#include "oxbowmill/net/broken_pipe.h"
 
 namespace oxbowmill::net {
 
 EventBasePtr make_event_base() {
+  ignore_broken_pipe_signal();
   EventBasePtr base(event_base_new());
   if (!base) throw Error("libevent cannot create an event base");
   return base;
--- a/src/service/effect_sender.cpp
+++ b/src/service/effect_sender.cpp
@@ -93,10 +93,13 @@
 void EffectSender::send_direct_commands(const DirectCommands& commands) {
   auto destination = parse_machine_address(state_.machine(commands.machine).address);
   if (!destination) return;
-  // Best effort: the response is ignored.
+  // Best effort: what the agent has executed is learnt from its reports.
   net::send_once(base_, *destination, EVHTTP_REQ_POST, "/commands",
                  wire::encode(wire::write_direct_commands(commands)), direct_command_timeout_s,
-                 [](const net::Response&) {});
+                 [unanswered = unanswered_commands_](const net::Response& response) {
+                   if (response.status == 0 && unanswered->add())
+                     SPDLOG_INFO("direct commands unanswered count={}", unanswered->count());
+                 });
 }
 
 }  // namespace oxbowmill::service
--- a/src/service/malformed_message_log.cpp
+++ b/src/service/malformed_message_log.cpp
@@ -11,11 +11,8 @@
 // agents.
 constexpr std::size_t max_logged_per_kind = 200;
 constexpr std::size_t max_sender_length = 120;  // bytes
-constexpr std::uint64_t first_logged_count = 10, logged_count_factor = 10;
 }  // namespace
 
-MalformedMessageLog::Refused::Refused() : next_logged_count(first_logged_count) {}
-
 void MalformedMessageLog::record(const MalformedMessage& message) {
   // As JSON, because a sender or the name of a field may hold line breaks.
   std::string sender = wire::to_json_text(message.sender), reason = wire::to_json_text(message.reason);
@@ -23,14 +20,13 @@
   if (refused.logged.size() < max_logged_per_kind && refused.logged.insert(sender + reason).second)
     SPDLOG_ERROR("malformed message kind={} sender={} reason={} size={}", message.kind, sender, reason,
                  net::current_message().size);
-  if (++refused.count != refused.next_logged_count) return;
-  SPDLOG_ERROR("malformed messages refused kind={} count={}", message.kind, refused.count);
-  refused.next_logged_count *= logged_count_factor;
+  if (refused.count.add())
+    SPDLOG_ERROR("malformed messages refused kind={} count={}", message.kind, refused.count.count());
 }
 
 std::uint64_t MalformedMessageLog::count(const std::string& kind) const {
   auto refused = refused_.find(kind);
-  return refused == refused_.end() ? 0 : refused->second.count;
+  return refused == refused_.end() ? 0 : refused->second.count.count();
 }
 
 std::string sender_in(const wire::DecodedMap& body, const char* field, const std::string& otherwise) {
--- a/src/simulation/scale_process.cpp
+++ b/src/simulation/scale_process.cpp
@@ -75,6 +75,8 @@
   constexpr int log_mode = 0644, exec_failed_status = 127;
   int log_file = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, log_mode);
   if (log_file >= 0) ::dup2(log_file, STDERR_FILENO);
+  // An ignored signal stays ignored in the program that is executed.
+  ::signal(SIGPIPE, SIG_DFL);
   std::vector<char*> arguments;
   for (std::string& argument : command_line) arguments.push_back(argument.data());
   arguments.push_back(nullptr);
@@ -108,7 +110,6 @@
   if (pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::close(pipe_ends[0]);
-    ::signal(SIGPIPE, SIG_IGN);
     run_simulator(role_, pipe_ends[1], simulator_main);
   }
   ::close(pipe_ends[1]);
--- a/tests/controller_process.h
+++ b/tests/controller_process.h
@@ -2,10 +2,13 @@
 // the cloud and an agent.
 #pragma once
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -200,10 +203,17 @@
            "[settings.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n";
     int log_pipe[2];
     ASSERT_EQ(pipe(log_pipe), 0);
+    if (log_pipe_size_ > 0) {
+      ASSERT_GE(fcntl(log_pipe[1], F_SETPIPE_SZ, log_pipe_size_), 0);
+    }
     pid_ = fork();
     ASSERT_GE(pid_, 0);
     if (pid_ == 0) {
       dup2(log_pipe[1], STDERR_FILENO);
+      close(log_pipe[0]);
+      close(log_pipe[1]);
+      // As a shell starts it; an ignored signal would stay ignored.
+      std::signal(SIGPIPE, SIG_DFL);
       if (operator_file_.empty()) {
         execl(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM, "--config", config_file_.c_str(),
               static_cast<char*>(nullptr));
@@ -230,7 +240,7 @@
     ASSERT_NE(controller_address_.port, 0);
     log_reader_ = std::thread([this, log_fd = log_pipe[0]] {
       char buffer[4096];
-      for (ssize_t size = 0; (size = read(log_fd, buffer, sizeof buffer)) > 0;) {
+      for (ssize_t size = 0; wait_to_read_log() && (size = read(log_fd, buffer, sizeof buffer)) > 0;) {
         std::lock_guard<std::mutex> lock(log_mutex_);
         log_.append(buffer, static_cast<std::size_t>(size));
         if (write(STDERR_FILENO, buffer, static_cast<std::size_t>(size)) < 0) break;
@@ -242,11 +252,20 @@
     if (pid_ <= 0) return;
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
+    if (log_reading_ == LogReading::paused) log_reading_ = LogReading::normal;
     if (log_reader_.joinable()) log_reader_.join();
     pid_ = -1;
     controller_address_ = {};
   }
 
+  /// How the reader of the program's log behaves before its next read.
+  enum class LogReading : std::uint8_t { normal, paused, ended };
+  /// Returns false if the reader is to close the pipe.
+  bool wait_to_read_log() const {
+    while (log_reading_ == LogReading::paused) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    return log_reading_ == LogReading::normal;
+  }
+
   /// Whether the program has logged the text since it was listening.
   bool has_logged(const std::string& text) {
     std::lock_guard<std::mutex> lock(log_mutex_);
@@ -286,11 +305,17 @@
 
   /// Runs oxbowctl while the event loop goes on. Returns its exit status and stores its output in `output`.
   int run_command_line(const std::string& args, std::string& output) {
+    return run_shell(std::string("exec ") + CLIENT_PROGRAM + " " + args, output);
+  }
+  /// The same for a command of the shell, in which oxbowctl finds the controller.
+  int run_shell(const std::string& shell_command, std::string& output) {
     std::string file = ::testing::TempDir() + "oxbow-out-" + std::to_string(::getpid());
-    std::string command = "OXBOW_NODES=" + net::to_string(controller_address_) + " " + CLIENT_PROGRAM + " " +
-                          args + " >" + file + " 2>&1";
+    std::string command = "exec >" + file +
+                          " 2>&1; export OXBOW_NODES=" + net::to_string(controller_address_) + "; " +
+                          shell_command;
     pid_t child = fork();
     if (child == 0) {
+      std::signal(SIGPIPE, SIG_DFL);
       execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
@@ -330,6 +355,8 @@
   std::thread log_reader_;  // forwards the program's log to standard error and to `log_`
   std::mutex log_mutex_;
   std::string log_;  // guarded by `log_mutex_`
+  std::atomic<LogReading> log_reading_ = LogReading::normal;
+  int log_pipe_size_ = 0;  // in bytes; 0: the system's
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
   // Answer a request in place of the stand-in and return true, or leave it to the stand-in and return false.
   std::function<bool(const Request&)> answer_for_state_, answer_for_cloud_;
