A log that nobody reads delays no request

What callers would see: a controller whose standard error is a pipe that is not read stops answering once the pipe is full.

Cause: the only thread wrote the log with a blocking write.

Change: service/log_output writes what a pipe or socket takes at once, drops and counts the rest, and logs the count when there is room again; nothing is kept. The crash line is written by the same function; its builder moved there.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,6 +1,5 @@
 // The oxbowmill program: parses the arguments, loads the settings and runs one controller.
 #include <event2/event.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
@@ -13,6 +12,7 @@
 #include "oxbowmill/net/broken_pipe.h"
 #include "oxbowmill/service/controller.h"
 #include "oxbowmill/service/crash_report.h"
+#include "oxbowmill/service/log_output.h"
 #include "oxbowmill/version.h"
 
 namespace {
@@ -21,7 +21,7 @@
 constexpr int exit_failure = 1, exit_bad_usage = 2;
 
 void configure_logging() {
-  spdlog::set_default_logger(spdlog::stderr_logger_st("oxbowmill"));
+  oxbowmill::service::log_to_standard_error();
   const char* level = std::getenv("LOG_LEVEL");
   spdlog::set_level(level == nullptr ? spdlog::level::info : spdlog::level::from_str(level));
   spdlog::set_pattern("%l %v");
--- a/src/service/crash_report.cpp
+++ b/src/service/crash_report.cpp
@@ -3,22 +3,20 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
-#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <string_view>
 
 #include "oxbowmill/net/current_message.h"
+#include "oxbowmill/service/log_output.h"
 #include "oxbowmill/version.h"
 
 namespace oxbowmill::service {
 
 namespace {
 
-constexpr std::size_t max_line_size = 1024;                        // longer lines are cut
 constexpr std::size_t signal_stack_size = std::size_t{64} * 1024;  // in bytes
 
 struct FatalSignal {
@@ -30,54 +28,12 @@
 
 alignas(std::max_align_t) std::array<char, signal_stack_size> signal_stack;
 
-/// Builds a log line by means that are safe in a signal handler. The values take the places of "{}" in turn.
-class CrashLine {
- public:
-  explicit CrashLine(std::string_view format) : format_(format) { append("error "); }
-
-  CrashLine& value(std::string_view text) {
-    append_up_to(format_.find(placeholder));
-    append(text);
-    format_.remove_prefix(std::min(placeholder.size(), format_.size()));
-    return *this;
-  }
-  /// The values of the message that is being handled, and the version.
-  CrashLine& message_and_version() {
-    const net::CurrentMessage& message = net::current_message();
-    std::array<char, max_digits> digits{};
-    char* end = std::to_chars(digits.data(), digits.data() + digits.size(), message.size).ptr;
-    std::string_view size(digits.data(), static_cast<std::size_t>(end - digits.data()));
-    return value(message.kind).value(message.sender).value(size).value(version);
-  }
-  void write() {
-    append_up_to(format_.size());
-    line_[size_++] = '\n';
-    for (std::size_t written = 0; written < size_;) {
-      ssize_t count = ::write(STDERR_FILENO, line_.data() + written, size_ - written);
-      if (count <= 0) return;
-      written += static_cast<std::size_t>(count);
-    }
-  }
-
- private:
-  static constexpr std::string_view placeholder = "{}";
-  static constexpr std::size_t max_digits = 24;
-
-  void append(std::string_view text) {
-    std::size_t count = std::min(text.size(), max_line_size - 1 - size_);  // the last byte is the line's end
-    std::copy_n(text.begin(), count, line_.begin() + static_cast<std::ptrdiff_t>(size_));
-    size_ += count;
-  }
-  void append_up_to(std::size_t position) {
-    position = std::min(position, format_.size());
-    append(format_.substr(0, position));
-    format_.remove_prefix(position);
-  }
-
-  std::string_view format_;
-  std::array<char, max_line_size> line_{};
-  std::size_t size_ = 0;
-};
+/// Adds the values of the message that is being handled, and the version, and writes the line.
+void write_line(RawLogLine& line) {
+  const net::CurrentMessage& message = net::current_message();
+  line.value(message.kind).value(message.sender).value(std::uint64_t{message.size}).value(version);
+  write_without_waiting(STDERR_FILENO, line.finish());
+}
 
 std::string_view name_of_signal(int number) {
   for (const FatalSignal& signal : fatal_signals) {
@@ -87,16 +43,16 @@
 }
 
 void on_fatal_signal(int number) {
-  CrashLine line("controller ended by signal signal={} message=\"{}\" sender=\"{}\" size={} version={}");
-  line.value(name_of_signal(number)).message_and_version().write();
+  RawLogLine line("controller ended by signal signal={} message=\"{}\" sender=\"{}\" size={} version={}");
+  write_line(line.value(name_of_signal(number)));
   // The handler was reset when it was called, so the signal now ends the program.
   raise(number);
 }
 
 void write_exception_line(std::string_view reason) {
-  CrashLine line(
+  RawLogLine line(
       "controller ended by exception reason=\"{}\" message=\"{}\" sender=\"{}\" size={} version={}");
-  line.value(reason).message_and_version().write();
+  write_line(line.value(reason));
 }
 
 [[noreturn]] void on_uncaught_exception() {
--- a/tests/broken_connection_test.cpp
+++ b/tests/broken_connection_test.cpp
@@ -89,6 +89,24 @@
   EXPECT_TRUE(is_ready());
 }
 
+// Guards against a controller that waits for a reader of its log who has stopped reading.
+TEST_F(BrokenConnection, LogWithABlockedReaderDelaysNoRequest) {
+  constexpr int log_lines = 100;  // more than the pipe holds
+  constexpr double time_limit_s = 30;
+  log_pipe_size_ = 4096;
+  start_program();
+  run_until_ready();
+  log_reading_ = LogReading::paused;
+  double started_at = now();
+  for (int i = 0; i < log_lines && now() - started_at < time_limit_s; ++i) cause_log_line(i);
+  EXPECT_TRUE(is_ready());
+  EXPECT_LT(now() - started_at, time_limit_s);
+  log_reading_ = LogReading::normal;
+  for (int i = log_lines; i < 2 * log_lines && !has_logged("log lines dropped count="); ++i)
+    cause_log_line(i);
+  EXPECT_TRUE(has_logged("error log lines dropped count="));
+}
+
 // Guards against an error message of a tool whose output is cut off, as in `oxbowctl ... | head -1`.
 TEST_F(BrokenConnection, CommandLineWithoutAReaderEndsQuietly) {
   start_program();
