--- a/include/oxbowmill/cluster/job.h
+++ b/include/oxbowmill/cluster/job.h
@@ -22,6 +22,7 @@
   queue_order,          ///< other jobs come first, or no scheduling cycle has considered it yet
   quota,                ///< its team has reached its quota
   no_capacity,          ///< no suitable machine has free capacity
+  message_limit,        ///< machines have capacity, but hold as many tasks as their messages can list
   awaiting_spot,        ///< spot machines are expected, and whole on-demand machines are kept free for gangs
   capacity_coming,      ///< tasks are leaving their machines, or machines are booting
   awaiting_leader,      ///< the leader gets a moment to request machines that have the image
--- a/include/oxbowmill/cluster/machine.h
+++ b/include/oxbowmill/cluster/machine.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "oxbowmill/cluster/message_size.h"
 #include "oxbowmill/cluster/records.h"
 
 namespace oxbowmill {
@@ -50,10 +51,12 @@
   /// It is known to have booted: it has reported, run a task or been moved. This holds even if it reports to
   /// another owner.
   bool has_booted = false;
-  bool write_in_flight = false;           ///< a transaction that concerns it is in flight
-  std::uint32_t error_count = 0;          ///< number of errors of tasks on it
-  std::string address;                    ///< address at which its agent can be reached
-  Resources used;                         ///< resources used by placed tasks
+  bool write_in_flight = false;   ///< a transaction that concerns it is in flight
+  std::uint32_t error_count = 0;  ///< number of errors of tasks on it
+  std::string address;            ///< address at which its agent can be reached
+  /// Resources used by placed tasks. Their bytes in messages are used until the placement is removed, all
+  /// else until the task is off the machine.
+  Resources used;
   std::uint32_t long_running_tasks = 0;   ///< tasks of services among those that use its capacity
   std::vector<TaskId> placed_tasks;       ///< tasks that may be on it
   Resources reserved;                     ///< resources reserved for placements that are being written
@@ -63,6 +66,10 @@
 
   /// Whether the state service holds a record of it.
   bool is_recorded() const { return revision != no_record; }
+  /// Whether its messages have no room for a further task of any job.
+  bool are_messages_full() const {
+    return used.message_bytes + reserved.message_bytes + max_task_message_bytes > agent_message_list_bytes;
+  }
   /// Whether its cache holds the image.
   bool has_image(ImageIndex image) const;
   /// State in which it comes to a new owner: if tasks may be on it, they have to be reconciled first.
--- a/include/oxbowmill/cluster/machine_type.h
+++ b/include/oxbowmill/cluster/machine_type.h
@@ -5,13 +5,19 @@
 #include <vector>
 
 #include "oxbowmill/cluster/index.h"
+#include "oxbowmill/cluster/message_size.h"
 #include "oxbowmill/cluster/resources.h"
 
 namespace oxbowmill {
 
+/// Resources of a whole machine with these amounts.
+inline Resources machine_capacity(double cpus, double gpus, double memory_gb) {
+  return {cpus, gpus, memory_gb, static_cast<double>(agent_message_list_bytes)};
+}
+
 /// An entry of the cloud's catalog.
 struct MachineType {
-  Resources capacity;            ///< resources of the whole machine
+  Resources capacity;            ///< resources of the whole machine, as machine_capacity() returns them
   double cache_gb = 0;           ///< size of the image cache, in GB
   double fetch_gb_per_s = 0;     ///< rate at which images are fetched, in GB/s
   double price = 0;              ///< price per hour on demand, in the currency
--- a/include/oxbowmill/cluster/placement.h
+++ b/include/oxbowmill/cluster/placement.h
@@ -45,6 +45,7 @@
   Seconds stopping_since = 0;              ///< when its state became `stopping`
   std::uint64_t sent_agent_epoch = 0;      ///< agent epoch of the report whose response carried the start
   std::uint64_t sent_report_sequence = 0;  ///< sequence number of that report
+  std::uint64_t kill_report_sequence = 0;  ///< that of the last report whose response carried a kill; 0: none
   Seconds started_at = 0;             ///< first start command by this owner, or estimate at failover; 0: none
   Seconds running_at = time_not_set;  ///< first report that showed it running; below 0: none
   Seconds known_at = 0;               ///< when this controller first read the record
--- a/include/oxbowmill/net/logged_count.h
+++ b/include/oxbowmill/logged_count.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace oxbowmill::net {
+namespace oxbowmill {
 
 /// Counts events. A caller that logs whenever `add` returns true writes a line for the first event and then
 /// for the tenth, the hundredth and so on, so the log stays short however many events there are.
@@ -25,4 +25,4 @@
   std::uint64_t count_ = 0, next_logged_;
 };
 
-}  // namespace oxbowmill::net
+}  // namespace oxbowmill
--- a/include/oxbowmill/net/http_client.h
+++ b/include/oxbowmill/net/http_client.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "oxbowmill/logged_count.h"
 #include "oxbowmill/net/address.h"
 #include "oxbowmill/net/event_handles.h"
-#include "oxbowmill/net/logged_count.h"
 #include "oxbowmill/net/timer.h"
 
 namespace oxbowmill::net {
--- a/include/oxbowmill/net/http_server.h
+++ b/include/oxbowmill/net/http_server.h
@@ -7,9 +7,9 @@
 #include <unordered_map>
 
 #include "oxbowmill/error.h"
+#include "oxbowmill/logged_count.h"
 #include "oxbowmill/net/address.h"
 #include "oxbowmill/net/event_handles.h"
-#include "oxbowmill/net/logged_count.h"
 
 namespace oxbowmill::net {
 
--- a/include/oxbowmill/scheduling/capacity_tracker.h
+++ b/include/oxbowmill/scheduling/capacity_tracker.h
@@ -5,6 +5,7 @@
 
 #include <queue>
 
+#include "oxbowmill/logged_count.h"
 #include "oxbowmill/scheduling/free_capacity.h"
 
 namespace oxbowmill {
@@ -40,6 +41,7 @@
   CapacityEstimate estimate_booting_capacity(MachineIndex machine, Seconds now) const;
   void add_tasks(const Machine& machine, MachineCapacity& capacity) const;
   void update(MachineIndex machine, Seconds now);
+  bool is_message_limited(PartitionIndex partition, MachineIndex machine) const;
   /// Clears all indexes and marks every machine as changed if the catalog's capacities have changed, because
   /// the group of a machine depends on the capacity of its type.
   void refresh_type_capacities();
@@ -56,6 +58,7 @@
   std::priority_queue<Recheck, std::vector<Recheck>, std::greater<>> rechecks_;
   std::vector<Seconds> recheck_at_;  // by machine: earliest recheck that is queued
   std::vector<Resources> type_capacities_;
+  LoggedCount message_limited_;  // machines whose messages became full
 };
 
 }  // namespace oxbowmill
--- a/include/oxbowmill/scheduling/free_capacity.h
+++ b/include/oxbowmill/scheduling/free_capacity.h
@@ -73,6 +73,9 @@
   /// counting once the count exceeds `limit`.
   std::size_t count_packed_places(const SelectionQuery& query, std::size_t limit) const;
 
+  /// Whether a machine has capacity for a task of the job but no room for it in its messages.
+  bool has_message_limited_place(const JobSpec& spec) const;
+
   /// Takes free capacity for a task that is about to be placed, until the next update of the machine.
   void take(MachineIndex machine, const Resources& need);
   /// Like `take`, but takes from the capacity that is being released there.
@@ -91,6 +94,8 @@
   const std::set<MachineIndex>& booting() const { return booting_; }
   /// Machines with tasks that may be preempted by work of higher priority.
   const std::set<MachineIndex>& preemptible() const { return preemptible_; }
+  /// Machines whose messages have no room for further tasks.
+  const std::set<MachineIndex>& message_limited() const { return message_limited_; }
   /// Number of entries visited since construction: the cost of the selections.
   std::uint64_t visits() const { return visits_; }
 
@@ -138,7 +143,7 @@
   const ClusterState* state_;
   std::unordered_map<std::uint32_t, Entry> machines_;
   std::map<GroupKey, Group> groups_;
-  std::set<MachineIndex> with_releasing_, booting_, preemptible_, provisional_;
+  std::set<MachineIndex> with_releasing_, booting_, preemptible_, message_limited_, provisional_;
   mutable std::uint64_t visits_ = 0;
 };
 
--- a/include/oxbowmill/scheduling/placement_cycle.h
+++ b/include/oxbowmill/scheduling/placement_cycle.h
@@ -79,6 +79,8 @@
   void improve_gang_selection(const Cycle& cycle, const SelectionRequest& request,
                               Selection& selection) const;
   bool preempt_for_rest(const Cycle& cycle, const SelectionRequest& request);
+  /// Why tasks of the job found no machine.
+  static PendingReason shortage_of(const Cycle& cycle, const Job& job);
   PendingReason reserve_and_plan(Cycle& cycle, JobIndex job_index, std::size_t wanted,
                                  const Selection& selection);
   bool awaits_leader(const Job& job, const Selection& selection, Seconds now) const;
--- /dev/null
+++ b/include/oxbowmill/scheduling/reported_tasks.h
@@ -0,0 +1,28 @@
+// Index of the tasks in one report. Reading a report takes a look-up for each placement of its machine, so
+// that a scan of the report for each would cost the square of the number of tasks.
+#pragma once
+
+#include <vector>
+
+#include "oxbowmill/cluster/agent_messages.h"
+
+namespace oxbowmill {
+
+/// Finds tasks in a report, which must outlive this object.
+class ReportedTasks {
+ public:
+  /// Indexes the report's tasks.
+  explicit ReportedTasks(const AgentReport& report);
+  /// The first entry of the task; null if the report does not list it.
+  const TaskReport* find(const std::string& job, TaskNumber task) const;
+  /// The first entry of this attempt of the task; null if the report does not list it.
+  const TaskReport* find(const std::string& job, TaskNumber task, Attempt attempt) const;
+
+ private:
+  using Position = std::vector<const TaskReport*>::const_iterator;
+  Position first_entry(const std::string& job, TaskNumber task) const;
+
+  std::vector<const TaskReport*> tasks_;  // by task number and job, else in the report's order
+};
+
+}  // namespace oxbowmill
--- a/include/oxbowmill/service/effect_sender.h
+++ b/include/oxbowmill/service/effect_sender.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "oxbowmill/net/logged_count.h"
+#include "oxbowmill/logged_count.h"
 #include "oxbowmill/service/cloud_client.h"
 #include "oxbowmill/service/submission_service.h"
 #include "oxbowmill/service/write_queue.h"
@@ -41,7 +41,7 @@
   std::function<double()> clock_;
   WriteQueue write_queue_;
   // Shared with the requests in flight, which may end after the sender.
-  std::shared_ptr<net::LoggedCount> unanswered_commands_ = std::make_shared<net::LoggedCount>();
+  std::shared_ptr<LoggedCount> unanswered_commands_ = std::make_shared<LoggedCount>();
 };
 
 }  // namespace oxbowmill::service
--- a/include/oxbowmill/service/malformed_message_log.h
+++ b/include/oxbowmill/service/malformed_message_log.h
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "oxbowmill/net/logged_count.h"
+#include "oxbowmill/logged_count.h"
 #include "oxbowmill/wire/cbor.h"
 
 namespace oxbowmill::service {
@@ -32,7 +32,7 @@
   static constexpr std::uint64_t first_logged_count = 10;  // the first messages have lines of their own
   struct Refused {
     std::set<std::string> logged;  // senders and reasons
-    net::LoggedCount count{first_logged_count};
+    LoggedCount count{first_logged_count};
   };
   std::map<std::string, Refused> refused_;  // by kind
 };
--- a/include/oxbowmill/service/report_handler.h
+++ b/include/oxbowmill/service/report_handler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "oxbowmill/reconciliation/reconciler.h"
+#include "oxbowmill/service/largest_message.h"
 #include "oxbowmill/service/malformed_message_log.h"
 #include "oxbowmill/service/report_relay.h"
 #include "oxbowmill/service/state_replica.h"
@@ -15,7 +16,7 @@
   peer,  // another controller, which relays it because the agent cannot reach this one
 };
 
-/// Handles reports. Has no state of its own.
+/// Handles reports.
 class ReportHandler {
  public:
   /// `reconciler` is null if reconciliation is off. The referenced objects must outlive the handler.
@@ -37,6 +38,7 @@
   ReportRelay& relay_;
   MalformedMessageLog& malformed_messages_;
   std::function<Clock()> clock_;
+  LargestMessage largest_report_{"report"}, largest_response_{"response"};
 };
 
 }  // namespace oxbowmill::service
--- a/include/oxbowmill/simulation/agent_wire.h
+++ b/include/oxbowmill/simulation/agent_wire.h
@@ -11,6 +11,8 @@
 
 /// Encodes a heartbeat, the body of `POST /hello`.
 wire::Json write_report(const AgentReport& report);
+/// Whether a message is over the protocol's size limit, which counts it as JSON.
+bool exceeds_limit(const wire::Json& message);
 /// Decodes the response to a heartbeat; nullopt if a field is missing or has the wrong type.
 std::optional<ReportAnswer> read_answer(const wire::Json& body);
 /// Decodes the body of `POST /commands`; nullopt if a field is missing or has the wrong type.
--- a/include/oxbowmill/simulation/simulated_cluster.h
+++ b/include/oxbowmill/simulation/simulated_cluster.h
@@ -147,8 +147,12 @@
   RunLog run_log;                         ///< task starts and ends on all agents
   double now = 1000;                      ///< the clock, in seconds
   std::set<std::string> silenced_agents;  ///< machines whose agents neither send nor receive
+  /// Reports, responses and direct commands over the protocol's size limit; agents take none of these.
+  std::size_t oversized_messages = 0;
 
  private:
+  void deliver_direct_commands(SimulatedController& controller);
+
   std::vector<std::unique_ptr<SimulatedController>> controllers_;
   std::map<std::string, std::unique_ptr<Agent>> agents_;
 };
--- a/include/oxbowmill/wire/agent_codec.h
+++ b/include/oxbowmill/wire/agent_codec.h
@@ -9,6 +9,11 @@
 
 namespace oxbowmill::wire {
 
+/// Reports are read beyond the protocol's limit, as far as the server receives bodies. An agent with more
+/// tasks than a message can list, placed by an earlier version, would otherwise lose all of them with its
+/// lease.
+constexpr BodyRules report_rules{4 * max_body_size, max_body_size};
+
 /// Decodes an agent's report; empty if a field is missing or malformed. An unknown cause of a task's end is
 /// read as EndCause::error, so that newer agents can report to this version.
 std::optional<AgentReport> read_report(const Json& json);
--- a/src/autoscaling/demand_order.cpp
+++ b/src/autoscaling/demand_order.cpp
@@ -25,7 +25,7 @@
   if (remaining_guarantee.cpus <= 0 && remaining_guarantee.gpus <= 0) return;
   if (remaining_guarantee.cpus <= 0) remaining_guarantee.cpus = unlimited_capacity;
   if (remaining_guarantee.gpus <= 0) remaining_guarantee.gpus = unlimited_capacity;
-  remaining_guarantee.memory_gb = unlimited_capacity;
+  remaining_guarantee.memory_gb = remaining_guarantee.message_bytes = unlimited_capacity;
   for (JobIndex job_index : open_jobs_by_age(state, partition)) {
     const JobSpec& spec = state.job(job_index).spec;
     Resources needed = static_cast<double>(spec.tasks) * spec.task_resources;
--- a/src/autoscaling/demand_reconciler.cpp
+++ b/src/autoscaling/demand_reconciler.cpp
@@ -54,7 +54,7 @@
     const Resources& usage = state.team_usage(index);
     partition.remaining_quota = {limit.cpus > 0 ? limit.cpus - usage.cpus : unlimited_capacity,
                                  limit.gpus > 0 ? limit.gpus - usage.gpus : unlimited_capacity,
-                                 unlimited_capacity};
+                                 unlimited_capacity, unlimited_capacity};
     partition.has_whole_machine_gangs = environment_.scheduler.needs_whole_machines(index);
   }
   return cycle;
--- a/src/cluster/apply_changes.cpp
+++ b/src/cluster/apply_changes.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "oxbowmill/cluster/cluster_state.h"
+#include "oxbowmill/cluster/message_size.h"
 
 namespace oxbowmill {
 
@@ -161,6 +162,7 @@
   current_job.placements.emplace(placed_task.task, placement);
   Machine& current_machine = edit_machine(placed_task.machine);
   current_machine.placed_tasks.push_back({job_index, placed_task.task});
+  current_machine.used.message_bytes += static_cast<double>(task_message_bytes(current_job.spec.ref));
   current_machine.has_booted = true;
   change_usage(current_job, placement, UsageChange::acquire);
   mark_image_used(current_machine, current_job.spec);
@@ -173,6 +175,7 @@
   const Placement& placement = placement_it->second;
   Machine& current_machine = edit_machine(placement.machine);
   if (!is_off_machine(placement.state)) change_usage(current_job, placement, UsageChange::release);
+  current_machine.used.message_bytes -= static_cast<double>(task_message_bytes(current_job.spec.ref));
   auto& placed_tasks = current_machine.placed_tasks;
   placed_tasks.erase(std::remove_if(placed_tasks.begin(), placed_tasks.end(),
                                     [&placement](const TaskId& id) {
--- a/src/cluster/job.cpp
+++ b/src/cluster/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "oxbowmill/cluster/message_size.h"
 #include "oxbowmill/cluster/settings.h"
 
 namespace oxbowmill {
@@ -51,6 +52,7 @@
 
 void Job::set_spec(const JobSpec& new_spec) {
   spec = new_spec;
+  spec.task_resources.message_bytes = static_cast<double>(task_message_bytes(spec.ref));
   done_or_placed.assign((spec.tasks + tasks_per_chunk - 1) / tasks_per_chunk, 0);
   for (const auto& [position, chunk] : chunks) {
     if (position < done_or_placed.size()) done_or_placed[position] = chunk.done;
--- a/src/cluster/resources.cpp
+++ b/src/cluster/resources.cpp
@@ -13,6 +13,7 @@
   limit(need.cpus, available.cpus);
   limit(need.gpus, available.gpus);
   limit(need.memory_gb, available.memory_gb);
+  limit(need.message_bytes, available.message_bytes);
   return count < 0 ? 0 : static_cast<int>(count);
 }
 
--- a/src/reconciliation/difference.cpp
+++ b/src/reconciliation/difference.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "oxbowmill/scheduling/gangs.h"
+#include "oxbowmill/scheduling/reported_tasks.h"
 
 namespace oxbowmill::reconciliation {
 
@@ -27,13 +28,6 @@
 
 namespace {
 
-const TaskReport* find_task_report(const AgentReport& report, const std::string& ref, TaskNumber task) {
-  auto found = std::find_if(report.tasks.begin(), report.tasks.end(), [&](const TaskReport& task_report) {
-    return task_report.task == task && task_report.job == ref;
-  });
-  return found == report.tasks.end() ? nullptr : &*found;
-}
-
 /// Whether another member of this placement's attempt may still be on its machine.
 bool has_other_members(const Job& job, const Placement& placement) {
   return std::any_of(job.placements.begin(), job.placements.end(), [&placement](const auto& other) {
@@ -61,13 +55,14 @@
 /// Compares all placements that earlier owners made on the machine.
 void compare_placements(const ClusterState& state, const Machine& machine, const AgentReport& report,
                         DifferenceCounts& differences) {
+  ReportedTasks reported(report);
   for (TaskId id : machine.placed_tasks) {
     const Job* job = state.known_job(id.job);
     const Placement* placement = state.find_placement(id);
     // A task that this owner placed itself is not a difference: the agent may not have the command yet.
     if (job == nullptr || placement == nullptr || is_off_machine(placement->state) || !placement->inherited)
       continue;
-    compare_placement(*job, *placement, find_task_report(report, job->spec.ref, id.task), differences);
+    compare_placement(*job, *placement, reported.find(job->spec.ref, id.task), differences);
   }
 }
 
--- a/src/scheduling/capacity_tracker.cpp
+++ b/src/scheduling/capacity_tracker.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/scheduling/capacity_tracker.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <stdexcept>
 #include <string>
@@ -96,7 +98,7 @@
     // machine has its image. When another gang took the machine in between, the member needed a second fetch,
     // which takes longer than a gang waits: gangs with large images started after 340 s.
     if (placement.state == PlacementState::terminated && placement.cause == EndCause::gang_incomplete)
-      capacity.candidate.free_capacity -= spec.task_resources;
+      capacity.candidate.free_capacity -= without_message_bytes(spec.task_resources);
     if (is_off_machine(placement.state)) continue;
     capacity.fetching_images =
         capacity.fetching_images || (placement.phase == TaskPhase::fetching && spec.image.valid());
@@ -118,6 +120,7 @@
   CapacityEstimate estimate = estimate_capacity(machine, now);
   PartitionIndex& indexed_partition = indexed_partitions_[machine.value];
   PartitionIndex partition = estimate.capacity ? state_.machine(machine).record.partition : PartitionIndex{};
+  bool was_message_limited = is_message_limited(indexed_partition, machine);
   if (indexed_partition.valid() && indexed_partition != partition) {
     if (partitions_[indexed_partition.value].update(machine, std::nullopt))
       ++versions_[indexed_partition.value];
@@ -125,17 +128,22 @@
   if (partition.valid() && partitions_[partition.value].update(machine, std::move(estimate.capacity)))
     ++versions_[partition.value];
   indexed_partition = partition;
+  if (!was_message_limited && is_message_limited(partition, machine) && message_limited_.add())
+    SPDLOG_INFO("machine holds as many tasks as its messages can list machine={} tasks={} count={}",
+                state_.names.machines.name(machine), state_.machine(machine).placed_tasks.size(),
+                message_limited_.count());
   if (estimate.valid_until >= recheck_at_[machine.value])
     return;  // an earlier recheck is queued and will queue the next one
   recheck_at_[machine.value] = estimate.valid_until;
   rechecks_.push({estimate.valid_until, machine});
 }
 
+bool CapacityTracker::is_message_limited(PartitionIndex partition, MachineIndex machine) const {
+  return partition.valid() && partitions_[partition.value].message_limited().count(machine) != 0;
+}
+
 void CapacityTracker::refresh_type_capacities() {
-  auto same = [](const Resources& known, const MachineType& type) {
-    return known.cpus == type.capacity.cpus && known.gpus == type.capacity.gpus &&
-           known.memory_gb == type.capacity.memory_gb;
-  };
+  auto same = [](const Resources& known, const MachineType& type) { return known == type.capacity; };
   const auto& catalog = state_.catalog;
   if (type_capacities_.size() == catalog.size() &&
       std::equal(type_capacities_.begin(), type_capacities_.end(), catalog.begin(), same))
--- a/src/scheduling/free_capacity.cpp
+++ b/src/scheduling/free_capacity.cpp
@@ -8,12 +8,9 @@
 namespace oxbowmill {
 
 bool operator==(const MachineCapacity& left, const MachineCapacity& right) {
-  auto same = [](const Resources& one, const Resources& other) {
-    return one.cpus == other.cpus && one.gpus == other.gpus && one.memory_gb == other.memory_gb;
-  };
-  return same(left.candidate.free_capacity, right.candidate.free_capacity) &&
-         same(left.releasing, right.releasing) && left.candidate.type == right.candidate.type &&
-         left.candidate.zone == right.candidate.zone && left.candidate.spot == right.candidate.spot &&
+  return left.candidate.free_capacity == right.candidate.free_capacity && left.releasing == right.releasing &&
+         left.candidate.type == right.candidate.type && left.candidate.zone == right.candidate.zone &&
+         left.candidate.spot == right.candidate.spot &&
          left.candidate.long_running == right.candidate.long_running && left.booting == right.booting &&
          left.expected_up_at == right.expected_up_at && left.fetching_images == right.fetching_images &&
          left.preemptible == right.preemptible && left.lowest_priority == right.lowest_priority &&
@@ -54,6 +51,8 @@
   const Resources& releasing = capacity.releasing;
   if (releasing.cpus != 0 || releasing.gpus != 0 || releasing.memory_gb != 0) with_releasing_.insert(machine);
   if (capacity.preemptible) preemptible_.insert(machine);
+  if (capacity.candidate.free_capacity.message_bytes < max_task_message_bytes)
+    message_limited_.insert(machine);
 }
 
 void FreeCapacity::erase(MachineIndex machine, const Entry& entry) {
@@ -72,6 +71,7 @@
   if (group->second.all.empty()) groups_.erase(group);
   with_releasing_.erase(machine);
   preemptible_.erase(machine);
+  message_limited_.erase(machine);
 }
 
 bool FreeCapacity::update(MachineIndex machine, std::optional<MachineCapacity> capacity) {
@@ -101,7 +101,8 @@
 void FreeCapacity::clear() {
   machines_.clear();
   groups_.clear();
-  for (auto* set : {&with_releasing_, &booting_, &preemptible_, &provisional_}) set->clear();
+  for (auto* set : {&with_releasing_, &booting_, &preemptible_, &message_limited_, &provisional_})
+    set->clear();
 }
 
 template <class Change>
@@ -333,6 +334,15 @@
   return gang && best.assignments.size() < tasks.size() ? Selection{} : best;
 }
 
+bool FreeCapacity::has_message_limited_place(const JobSpec& spec) const {
+  const Resources need = without_message_bytes(spec.task_resources);
+  return std::any_of(message_limited_.begin(), message_limited_.end(), [&](MachineIndex machine) {
+    const CandidateMachine& candidate = machines_.at(machine.value).capacity.candidate;
+    return is_allowed_on(spec, candidate.type, candidate.zone, candidate.spot) &&
+           fits(need, without_message_bytes(candidate.free_capacity));
+  });
+}
+
 std::size_t FreeCapacity::count_packed_places(const SelectionQuery& query, std::size_t limit) const {
   const JobSpec& spec = *query.spec;
   std::size_t count = 0;
--- a/src/scheduling/machine_selection.cpp
+++ b/src/scheduling/machine_selection.cpp
@@ -41,7 +41,8 @@
 }
 
 bool is_whole_machine_free(const CandidateMachine& candidate, const MachineType& type) {
-  return fits(type.capacity, candidate.free_capacity);
+  // Ended tasks that are still listed do not count.
+  return fits(without_message_bytes(type.capacity), without_message_bytes(candidate.free_capacity));
 }
 
 bool packs_with_others(const JobSpec& spec, const MachineType& type) {
--- a/src/scheduling/pending_reason.cpp
+++ b/src/scheduling/pending_reason.cpp
@@ -5,22 +5,11 @@
 namespace oxbowmill {
 
 const char* name_of(PendingReason reason) {
-  static constexpr const char* names[] = {"none",
-                                          "queue_order",
-                                          "quota",
-                                          "no_capacity",
-                                          "awaiting_spot",
-                                          "capacity_coming",
-                                          "awaiting_leader",
-                                          "write_budget",
-                                          "transaction_pending",
-                                          "error_backoff",
-                                          "previous_attempt",
-                                          "agent_silent",
-                                          "start_unconfirmed",
-                                          "image_fetch",
-                                          "gang_members",
-                                          "stopping"};
+  static constexpr const char* names[] = {
+      "none",          "queue_order",      "quota",           "no_capacity",       "message_limit",
+      "awaiting_spot", "capacity_coming",  "awaiting_leader", "write_budget",      "transaction_pending",
+      "error_backoff", "previous_attempt", "agent_silent",    "start_unconfirmed", "image_fetch",
+      "gang_members",  "stopping"};
   return names[static_cast<int>(reason)];
 }
 
--- a/src/scheduling/placement_cycle.cpp
+++ b/src/scheduling/placement_cycle.cpp
@@ -64,7 +64,7 @@
   auto left = [](double limit, double used) { return limit > 0 ? limit - used : unlimited; };
   // Every task that may be on a machine uses quota, including tasks whose placement is being written.
   Resources used = state_.team_usage(partition);
-  return {left(team.limit.cpus, used.cpus), left(team.limit.gpus, used.gpus), unlimited};
+  return {left(team.limit.cpus, used.cpus), left(team.limit.gpus, used.gpus), unlimited, unlimited};
 }
 
 std::size_t PlacementCycle::max_placeable(const Cycle& cycle, JobIndex job_index) const {
@@ -100,7 +100,7 @@
   Selection selection = select_machines(cycle, job, query, tasks);
   if (selection.assignments.empty()) {
     if (gang && !job.placements.empty()) gangs_.release_unschedulable(job, now);
-    return PendingReason::no_capacity;
+    return shortage_of(cycle, job);
   }
   job.unschedulable_since = -1;
   return reserve_and_plan(cycle, waiting.job, tasks.size(), selection);
@@ -198,7 +198,12 @@
   if (waits_for_leader) return PendingReason::awaiting_leader;
   if (batches_placements) return PendingReason::write_budget;
   if (placeable.size() < selection.assignments.size()) return PendingReason::capacity_coming;
-  return placeable.size() < wanted ? PendingReason::no_capacity : PendingReason::transaction_pending;
+  return placeable.size() < wanted ? shortage_of(cycle, job) : PendingReason::transaction_pending;
+}
+
+PendingReason PlacementCycle::shortage_of(const Cycle& cycle, const Job& job) {
+  return cycle.capacity.free->has_message_limited_place(job.spec) ? PendingReason::message_limit
+                                                                  : PendingReason::no_capacity;
 }
 
 /// Takes the candidate's capacity for the rest of the cycle. Returns whether the task may be placed now.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "oxbowmill/scheduling/scheduler.h"
 
+#include "oxbowmill/scheduling/command_batch.h"
 #include "oxbowmill/scheduling/pending_reason.h"
 #include "oxbowmill/scheduling/task_termination.h"
 
@@ -76,6 +77,7 @@
   job_writer_.write_changed(std::move(planned), now, out);
   send_direct_kills(state_, ownership_, out);
   transactions_.take_direct_commands(out);
+  split_large_messages(out.direct_commands);
 }
 
 }  // namespace oxbowmill
--- a/src/scheduling/task_report_reader.cpp
+++ b/src/scheduling/task_report_reader.cpp
@@ -3,9 +3,11 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 #include "oxbowmill/scheduling/done_mark_collector.h"
+#include "oxbowmill/scheduling/reported_tasks.h"
 
 namespace oxbowmill {
 
@@ -22,26 +24,19 @@
 constexpr double running_gap_report_intervals = 2;
 constexpr double running_gap_slack_s = 1;
 
-const TaskReport* find_task_report(const AgentReport& report, const std::string& job_ref,
-                                   const Placement& placement) {
-  auto found = std::find_if(report.tasks.begin(), report.tasks.end(), [&](const TaskReport& task_report) {
-    return task_report.task == placement.task && task_report.attempt == placement.attempt &&
-           task_report.job == job_ref;
-  });
-  return found == report.tasks.end() ? nullptr : &*found;
-}
-
 }  // namespace
 
 StartUpdate TaskReportReader::read(MachineIndex machine_index, const AgentReport& report,
                                    const ReportProof& proof, Seconds now) {
   Machine& machine = state_.edit_machine(machine_index);
   ReportContext context{report, proof, machine, now, {}};
+  ReportedTasks reported(report);
   auto task_ids = machine.placed_tasks;
   for (TaskId id : task_ids) {
     Placement& placement = *state_.edit_placement(id);
     if (is_off_machine(placement.state)) continue;
-    const TaskReport* task_report = find_task_report(report, state_.job(id.job).spec.ref, placement);
+    const TaskReport* task_report =
+        reported.find(state_.job(id.job).spec.ref, placement.task, placement.attempt);
     if (task_report != nullptr) {
       read_listed(context, placement, *task_report);
     } else {
@@ -54,17 +49,19 @@
 
 void TaskReportReader::check_gangs_and_marks(MachineIndex machine_index, const std::vector<TaskId>& task_ids,
                                              Seconds now) {
+  std::set<JobIndex> checked_gangs;
   for (TaskId id : task_ids) {
     Job& job = state_.job(id.job);
-    if (job.spec.shape == JobShape::gang) gangs_.check(job, now);
+    if (job.spec.shape == JobShape::gang && checked_gangs.insert(id.job).second) gangs_.check(job, now);
   }
   // A machine can be handed over or returned only when it is empty, so the ends of its last tasks are written
-  // at once.
-  const std::vector<TaskId>& placed = state_.machine(machine_index).placed_tasks;
+  // at once. The same holds if no task can come to the machine before ended ones leave its list.
+  const Machine& machine = state_.machine(machine_index);
+  const std::vector<TaskId>& placed = machine.placed_tasks;
   bool all_off = !placed.empty() && std::all_of(placed.begin(), placed.end(), [this](TaskId id) {
     return is_off_machine(state_.find_placement(id)->state);
   });
-  if (all_off) request_done_marks(state_, machine_index);
+  if (all_off || machine.are_messages_full()) request_done_marks(state_, machine_index);
 }
 
 void TaskReportReader::read_listed(ReportContext& context, Placement& placement,
--- a/src/service/report_handler.cpp
+++ b/src/service/report_handler.cpp
@@ -18,7 +18,7 @@
       clock_(std::move(clock)) {}
 
 std::optional<AgentReport> ReportHandler::read(const net::Request& request) {
-  auto body = wire::decode_map(request.body);
+  auto body = wire::decode_map(request.body, wire::report_rules);
   auto report = body ? wire::read_report(*body) : std::nullopt;
   if (!report) {
     malformed_messages_.record({"report", sender_in(body, "host", request.peer_host),
@@ -35,14 +35,18 @@
     scheduler_.detect_failovers(clock_().now);
     reconciler_->on_report(*report, clock_().now);
   }
+  largest_report_.record(report->machine, request.body.size());
   reply(request, origin, report->machine, scheduler_.on_report(*report, clock_()));
 }
 
 void ReportHandler::reply(const net::Request& request, ReportOrigin origin, const std::string& machine,
                           const ReportAnswer& answer) {
   switch (answer.kind) {
-    case ReportAnswer::Kind::ok:
-      return request.responder->reply(200, wire::encode(wire::write_report_answer(answer)));
+    case ReportAnswer::Kind::ok: {
+      std::string body = wire::encode(wire::write_report_answer(answer));
+      largest_response_.record(machine, body.size());
+      return request.responder->reply(200, body);
+    }
     case ReportAnswer::Kind::redirect:
       // A relayed report is not relayed again, because it could circulate between controllers.
       if (origin == ReportOrigin::agent && answer.owner_unreachable)
--- a/src/simulation/agent_wire.cpp
+++ b/src/simulation/agent_wire.cpp
@@ -50,6 +50,10 @@
           {"shards", std::move(tasks)}};
 }
 
+bool exceeds_limit(const Json& message) {
+  return wire::to_json_text(message).size() > wire::max_body_size;
+}
+
 std::optional<ReportAnswer> read_answer(const Json& body) {
   try {
     ReportAnswer answer;
--- a/src/simulation/market_simulation.cpp
+++ b/src/simulation/market_simulation.cpp
@@ -57,7 +57,7 @@
       random_(seed),
       name_registry_(controller_settings(0, 1), initial_names()) {
   MachineType type;
-  type.capacity = {8, 1, 64};
+  type.capacity = machine_capacity(8, 1, 64);
   type.price = scenario.cloud_price;
   type.spot_price = scenario.cloud_price;
   type.boot_s = scenario.cloud_ready_s;
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "oxbowmill/simulation/agent_wire.h"
+
 namespace oxbowmill::simulation {
 
 Settings test_settings(const std::string& controller_name) {
@@ -25,7 +27,7 @@
 
 std::vector<MachineType> test_catalog() {
   MachineType type;
-  type.capacity = {32, 4, 128};
+  type.capacity = machine_capacity(32, 4, 128);
   type.price = 10;
   type.spot_price = 3;
   type.boot_s = 20;
@@ -256,8 +258,12 @@
 
 ReportAnswer SimulatedCluster::exchange_report(const std::string& name, std::size_t n, bool response_lost) {
   Agent& agent = this->agent(name);
-  ReportAnswer response = controllers_[n]->handle_report(agent.report(now), now);
-  if (!response_lost) agent.handle_response(response, now);
+  AgentReport report = agent.report(now);
+  if (exceeds_limit(write_report(report))) ++oversized_messages;
+  ReportAnswer response = controllers_[n]->handle_report(report, now);
+  bool is_valid = !exceeds_limit(wire::write_report_answer(response));
+  if (!is_valid) ++oversized_messages;
+  if (is_valid && !response_lost) agent.handle_response(response, now);
   return response;
 }
 
@@ -290,14 +296,20 @@
         exchange_report(name, n);
       }
     }
-    while (!controller.direct_commands.empty()) {
-      DirectCommands direct_commands = std::move(controller.direct_commands.front());
-      controller.direct_commands.pop_front();
-      const std::string& to = controller.cluster_state.names.machines.name(direct_commands.machine);
-      auto agent = agents_.find(to);
-      if (agent != agents_.end() && silenced_agents.count(to) == 0)
-        agent->second->handle_commands(direct_commands);
-    }
+    deliver_direct_commands(controller);
+  }
+}
+
+void SimulatedCluster::deliver_direct_commands(SimulatedController& controller) {
+  while (!controller.direct_commands.empty()) {
+    DirectCommands direct_commands = std::move(controller.direct_commands.front());
+    controller.direct_commands.pop_front();
+    const std::string& to = controller.cluster_state.names.machines.name(direct_commands.machine);
+    auto agent = agents_.find(to);
+    bool is_valid = !exceeds_limit(wire::write_direct_commands(direct_commands));
+    if (!is_valid) ++oversized_messages;
+    if (is_valid && agent != agents_.end() && silenced_agents.count(to) == 0)
+      agent->second->handle_commands(direct_commands);
   }
 }
 
--- a/src/wire/cloud_codec.cpp
+++ b/src/wire/cloud_codec.cpp
@@ -35,8 +35,8 @@
   FieldReader fields(json);
   CatalogEntry entry;
   entry.name = fields.text(field::type_name);
-  entry.type.capacity = {fields.amount(shared::cpus), fields.amount(shared::gpus),
-                         fields.amount(shared::memory_gb)};
+  entry.type.capacity = machine_capacity(fields.amount(shared::cpus), fields.amount(shared::gpus),
+                                         fields.amount(shared::memory_gb));
   entry.type.cache_gb = fields.amount(field::cache_gb);
   entry.type.fetch_gb_per_s = fields.amount(field::fetch_gb_per_s);
   entry.type.price = fields.amount(field::price);
--- a/tests/controller_process.h
+++ b/tests/controller_process.h
@@ -208,21 +208,7 @@
     }
     pid_ = fork();
     ASSERT_GE(pid_, 0);
-    if (pid_ == 0) {
-      dup2(log_pipe[1], STDERR_FILENO);
-      close(log_pipe[0]);
-      close(log_pipe[1]);
-      // As a shell starts it; an ignored signal would stay ignored.
-      std::signal(SIGPIPE, SIG_DFL);
-      if (operator_file_.empty()) {
-        execl(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM, "--config", config_file_.c_str(),
-              static_cast<char*>(nullptr));
-      } else {
-        execl(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM, "--operator", operator_file_.c_str(), "--config",
-              config_file_.c_str(), static_cast<char*>(nullptr));
-      }
-      _exit(127);
-    }
+    if (pid_ == 0) execute_program(log_pipe);
     close(log_pipe[1]);
     // The system chooses the program's ports, so that tests can run in parallel; the program logs them.
     std::ifstream lines("/dev/fd/" + std::to_string(log_pipe[0]));
@@ -238,15 +224,33 @@
       peer_address_ = net::parse_address(line.substr(begin, line.find(" for controllers") - begin));
     }
     ASSERT_NE(controller_address_.port, 0);
-    log_reader_ = std::thread([this, log_fd = log_pipe[0]] {
-      char buffer[4096];
-      for (ssize_t size = 0; wait_to_read_log() && (size = read(log_fd, buffer, sizeof buffer)) > 0;) {
-        std::lock_guard<std::mutex> lock(log_mutex_);
-        log_.append(buffer, static_cast<std::size_t>(size));
-        if (write(STDERR_FILENO, buffer, static_cast<std::size_t>(size)) < 0) break;
-      }
-      close(log_fd);
-    });
+    log_reader_ = std::thread([this, log_fd = log_pipe[0]] { forward_log(log_fd); });
+  }
+  /// Runs the program in place of the present process, with the pipe as standard error.
+  [[noreturn]] void execute_program(const int (&log_pipe)[2]) const {
+    dup2(log_pipe[1], STDERR_FILENO);
+    close(log_pipe[0]);
+    close(log_pipe[1]);
+    // As a shell starts it; an ignored signal would stay ignored.
+    std::signal(SIGPIPE, SIG_DFL);
+    if (operator_file_.empty()) {
+      execl(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM, "--config", config_file_.c_str(),
+            static_cast<char*>(nullptr));
+    } else {
+      execl(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM, "--operator", operator_file_.c_str(), "--config",
+            config_file_.c_str(), static_cast<char*>(nullptr));
+    }
+    _exit(127);
+  }
+  /// Copies the program's log to standard error and to `log_` until the program or the reading ends.
+  void forward_log(int log_fd) {
+    char buffer[4096];
+    for (ssize_t size = 0; wait_to_read_log() && (size = read(log_fd, buffer, sizeof buffer)) > 0;) {
+      std::lock_guard<std::mutex> lock(log_mutex_);
+      log_.append(buffer, static_cast<std::size_t>(size));
+      if (write(STDERR_FILENO, buffer, static_cast<std::size_t>(size)) < 0) break;
+    }
+    close(log_fd);
   }
   void stop_program() {
     if (pid_ <= 0) return;
--- a/tests/free_capacity_test.cpp
+++ b/tests/free_capacity_test.cpp
@@ -26,7 +26,7 @@
     MachineType small = simulation::test_catalog().front(), big = small;
     small.fetch_gb_per_s = 0.5;
     big.fetch_gb_per_s = 1;
-    big.capacity = {96, 8, 512};
+    big.capacity = machine_capacity(96, 8, 512);
     state_.catalog = {small, big};
     std::uint32_t machines = 1 + random_below(40);
     for (std::uint32_t i = 0; i < machines; ++i) add_machine(i);
