Names in submissions that are refused do not stay in memory

Cause: admission gave each name an index before it knew whether the job can run, and an index is for good.

Change: admission only reads the names. A job's names get their indices when the record of the accepted job is read.

--- a/include/oxbowmill/service/admission.h
+++ b/include/oxbowmill/service/admission.h
@@ -11,7 +11,7 @@
 
 /// The result of checking a submission.
 struct Admission {
-  JobSpec spec;                              ///< the fields that could be read
+  wire::Submission submission;               ///< the fields that could be read
   wire::Json record;                         ///< the job's record to be stored; valid if not rejected
   std::optional<wire::Rejection> rejection;  ///< why it is not admissible; empty if it is
   /// Whether every controller rejects this body at any time, because the body itself is invalid. Any other
@@ -35,9 +35,8 @@
   std::deque<std::string> order_;
 };
 
-/// Checks a submission. `body` must be a map; `submitted_at` is a wall-clock time in seconds. Adds unknown
-/// names to `names`.
-Admission admit(const wire::Json& body, Names& names, const Settings& settings,
+/// Checks a submission. `body` must be a map; `submitted_at` is a wall-clock time in seconds.
+Admission admit(const wire::Json& body, const Names& names, const Settings& settings,
                 const std::vector<MachineType>& catalog, double submitted_at);
 
 /// The transaction that accepts a job. Its guards require that neither the job's own key nor its final key
--- a/include/oxbowmill/state/keys.h
+++ b/include/oxbowmill/state/keys.h
@@ -48,5 +48,7 @@
 wire::Json with_phase(wire::Json value, JobPhase phase);
 /// The value of a job's key.
 wire::Json job_value(const JobSpec& spec, JobPhase phase, const Names& names);
+/// The same for a submission that is to be accepted.
+wire::Json job_value(const wire::Submission& submission, JobPhase phase, const Names& names);
 
 }  // namespace oxbowmill::state
--- a/src/service/admission.cpp
+++ b/src/service/admission.cpp
@@ -31,15 +31,16 @@
   }
 }
 
-Admission admit(const wire::Json& body, Names& names, const Settings& settings,
+Admission admit(const wire::Json& body, const Names& names, const Settings& settings,
                 const std::vector<MachineType>& catalog, double submitted_at) {
   Admission admission;
-  admission.rejection = wire::read_submission(body, names, admission.spec);
+  admission.rejection = wire::read_submission(body, names, admission.submission);
   admission.is_permanent = admission.rejection && admission.rejection->status == bad_request_status;
-  if (!admission.rejection) admission.rejection = wire::check_runnable(admission.spec, settings, catalog);
+  if (!admission.rejection)
+    admission.rejection = wire::check_runnable(admission.submission.spec, settings, catalog);
   if (admission.rejection) return admission;
-  admission.spec.submitted_at = submitted_at;
-  admission.record = state::job_value(admission.spec, JobPhase::open, names);
+  admission.submission.spec.submitted_at = submitted_at;
+  admission.record = state::job_value(admission.submission, JobPhase::open, names);
   if (static_cast<double>(wire::to_json_text(admission.record).size()) > settings.max_value_kb * bytes_per_kb)
     admission.rejection = wire::Rejection{bad_request_status, "too large"};
   return admission;
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -137,7 +137,7 @@
   double first_attempt_at = first_attempts_.record_attempt(*body, wall_clock_());
   if (is_overloaded()) return reply_unavailable(responder);
   Admission admission = admit(*body, state_.names, state_.settings, state_.catalog, first_attempt_at);
-  std::string ref = admission.spec.ref;
+  std::string ref = admission.submission.spec.ref;
   if (!admission.rejection) return commit_submission(ref, admission.record, responder);
   if (admission.is_permanent) return refuse_malformed(request, body, admission.rejection->reason);
   // A repeated submission of an accepted job is never rejected, even if the submission is not admissible now:
--- a/src/state/job_records.cpp
+++ b/src/state/job_records.cpp
@@ -88,10 +88,20 @@
   return value;
 }
 
-Json job_value(const JobSpec& spec, JobPhase phase, const Names& names) {
-  return {{stored::job::spec, wire::write_submission(spec, names)},
+namespace {
+Json value_of_job(Json submission, double submitted_at, JobPhase phase) {
+  return {{stored::job::spec, std::move(submission)},
           {stored::job::phase, name_of(phase)},
-          {stored::job::submitted_at, spec.submitted_at}};
+          {stored::job::submitted_at, submitted_at}};
+}
+}  // namespace
+
+Json job_value(const JobSpec& spec, JobPhase phase, const Names& names) {
+  return value_of_job(wire::write_submission(spec, names), spec.submitted_at, phase);
+}
+
+Json job_value(const wire::Submission& submission, JobPhase phase, const Names& names) {
+  return value_of_job(wire::write_submission(submission, names), submission.spec.submitted_at, phase);
 }
 
 Json encode_record(const JobRecord& record, const ClusterState& cluster) {
--- a/src/wire/submission_codec.cpp
+++ b/src/wire/submission_codec.cpp
@@ -44,7 +44,7 @@
 
 /// Names in a submission that have not been looked up yet.
 struct SubmittedNames {
-  std::string job_class, partition, image;
+  std::string partition;
   std::string zone;             // empty: any zone
   const Json* types = nullptr;  // null: any type
 };
@@ -57,13 +57,14 @@
 }
 
 /// Reads all fields. A rejection reports the first malformed one in the order of this function.
-SubmittedNames read_fields(FieldReader& fields, JobSpec& out) {
+SubmittedNames read_fields(FieldReader& fields, Submission& submission) {
   SubmittedNames submitted;
+  JobSpec& out = submission.spec;
   out.ref = fields.text(field::ref);
   if (!valid_id(out.ref)) fields.fail(field::ref);
-  submitted.job_class = fields.text(field::job_class);
+  submission.job_class = fields.text(field::job_class);
   submitted.partition = fields.text(field::partition);
-  submitted.image = fields.text(field::image);
+  submission.image = fields.text(field::image);
   auto shape = value_of(job_shapes, fields.text(field::shape));
   if (!shape) fields.fail(field::shape);
   auto priority = value_of(priorities, fields.text(field::priority));
@@ -91,7 +92,7 @@
   return submitted;
 }
 
-std::optional<Rejection> resolve_names(const SubmittedNames& submitted, Names& names, JobSpec& out) {
+std::optional<Rejection> resolve_names(const SubmittedNames& submitted, const Names& names, JobSpec& out) {
   out.partition = names.partitions.find(submitted.partition);
   if (!out.partition.valid() || out.partition == idle_pool) return Rejection{422, "owner: unknown team"};
   out.types.clear();
@@ -107,18 +108,26 @@
     out.zone = names.zones.find(submitted.zone);
     if (!out.zone.valid()) return Rejection{422, "yard: unknown zone"};
   }
-  out.job_class = names.classes.intern(submitted.job_class);
-  out.image = names.images.intern(submitted.image);
   return std::nullopt;
 }
 
 }  // namespace
 
-std::optional<Rejection> read_submission(const Json& json, Names& names, JobSpec& out) {
+std::optional<Rejection> read_submission(const Json& json, const Names& names, Submission& out) {
   FieldReader fields(json);
   SubmittedNames submitted = read_fields(fields, out);
   if (!fields.ok()) return Rejection{400, fields.invalid_field() + ": missing or invalid"};
-  return resolve_names(submitted, names, out);
+  return resolve_names(submitted, names, out.spec);
+}
+
+std::optional<Rejection> read_submission(const Json& json, Names& names, JobSpec& out) {
+  Submission submission;
+  std::optional<Rejection> rejection = read_submission(json, names, submission);
+  out = std::move(submission.spec);
+  if (rejection) return rejection;
+  out.job_class = names.classes.intern(submission.job_class);
+  out.image = names.images.intern(submission.image);
+  return std::nullopt;
 }
 
 std::optional<Rejection> check_runnable(const JobSpec& spec, const Settings& settings,
@@ -136,10 +145,16 @@
 }
 
 Json write_submission(const JobSpec& spec, const Names& names) {
+  return write_submission(Submission{spec, names.classes.name(spec.job_class), names.images.name(spec.image)},
+                          names);
+}
+
+Json write_submission(const Submission& submission, const Names& names) {
+  const JobSpec& spec = submission.spec;
   Json types;
   for (TypeIndex type : spec.types) types.push_back(names.types.name(type));
   return {{field::ref, spec.ref},
-          {field::job_class, names.classes.name(spec.job_class)},
+          {field::job_class, submission.job_class},
           {field::partition, names.partitions.name(spec.partition)},
           {field::shape, name_on_wire(job_shapes, spec.shape)},
           {field::priority, name_on_wire(priorities, spec.priority)},
@@ -147,7 +162,7 @@
           {shared::cpus, spec.task_resources.cpus},
           {shared::gpus, spec.task_resources.gpus},
           {shared::memory_gb, spec.task_resources.memory_gb},
-          {field::image, names.images.name(spec.image)},
+          {field::image, submission.image},
           {field::image_gb, spec.image_gb},
           {shared::machine_types, types},
           {shared::zone, spec.zone.valid() ? Json(names.zones.name(spec.zone)) : Json()},
--- a/tests/bench/malformed_bench.cpp
+++ b/tests/bench/malformed_bench.cpp
@@ -125,7 +125,7 @@
   if (!decoded) return wire::encode({{"error", decoded.error()}});
   service::Admission admission = service::admit(*decoded, names, settings, catalog, 0);
   if (admission.rejection) return wire::encode({{"error", admission.rejection->reason}});
-  return wire::encode(service::submission_txn(admission.spec.ref, admission.record));
+  return wire::encode(service::submission_txn(admission.submission.spec.ref, admission.record));
 }
 
 void answer_body(benchmark::State& state, const std::string& body) {
--- a/tests/fault_combinations_test.cpp
+++ b/tests/fault_combinations_test.cpp
@@ -300,7 +300,7 @@
   simulation::Json body = wire::write_submission(test_job("run-1", 1), names);
   auto admission = service::admit(body, names, settings, simulation::test_catalog(), 100);
   ASSERT_FALSE(admission.rejection);
-  EXPECT_EQ(admission.spec.submitted_at, 100);
+  EXPECT_EQ(admission.submission.spec.submitted_at, 100);
 }
 
 TEST(FaultCombinations, StatusQueryIsAnsweredOnlyFromKnownState) {
