An integer below -2^63 is not read as another number

Cause: the CBOR library computes -1 minus the argument in 64 bits, which wraps around.

Change: the scan that every body passes before it is decoded cuts such an item out, as it does with what is nested too deeply: a field of a message that holds it is invalid, a field that the receiver does not know is ignored.

Test that was wrong: RandomBodies.DecodedAsByTheRecursiveDecoder compares with the library's own decoder, whose result is the fault.

--- a/src/wire/cbor_scanner.cpp
+++ b/src/wire/cbor_scanner.cpp
@@ -28,6 +28,8 @@
 constexpr char empty_byte_string = '\x40';
 constexpr std::uint64_t first_two_byte_simple_value = 32;
 constexpr unsigned bits_per_byte = 8;
+// The item's value is -1 minus its argument. The library would read a lower value as another number.
+constexpr std::uint64_t max_negative_argument = std::numeric_limits<std::int64_t>::max();
 
 // Maps and arrays that are open where a field of the body's map begins.
 constexpr std::size_t field_nesting = 1;
@@ -93,8 +95,11 @@
         if (head.has_one_byte_argument && head.argument < first_two_byte_simple_value)
           return fail("invalid simple value");
         break;
-      case MajorType::unsigned_integer:
       case MajorType::negative_integer:
+        if (head.argument > max_negative_argument)
+          cut_scalar(static_cast<std::size_t>(start - body_.begin()));
+        break;
+      case MajorType::unsigned_integer:
         break;
     }
     complete_item();
@@ -201,6 +206,13 @@
     cut();
   }
 
+  /// Replaces an item that is neither an array nor a map, unless it is in an array or map that is replaced.
+  void cut_scalar(std::size_t start) {
+    if (open_.size() > limits_.kept_nesting) return;
+    cut_start_ = start;
+    cut();
+  }
+
   /// Replaces what has been scanned since `cut_start_`.
   void cut() {
     trimmed_.append(body_, copied_, cut_start_ - copied_);
--- a/tests/random_bodies_test.cpp
+++ b/tests/random_bodies_test.cpp
@@ -70,12 +70,22 @@
   return out;
 }
 
+/// Puts an empty byte string in place of each integer below -2^63. The library reads it as a signed number
+/// that is not negative, which it makes of no other item.
+void cut_integers_below_range(Json& json) {
+  bool is_signed = json.is_number_integer() && !json.is_number_unsigned();
+  if (is_signed && json.get<std::int64_t>() >= 0) json = Json::binary({});
+  if (!json.is_structured()) return;
+  for (Json& item : json) cut_integers_below_range(item);
+}
+
 /// What the library decodes by itself. Its decoder calls itself for each level.
 std::optional<Json> decode_recursively(const std::string& body) {
   if (body.size() > wire::max_body_size) return std::nullopt;
   try {
     Json json = Json::from_cbor(body);
     if (!json.is_object() || wire::find_invalid_text(json)) return std::nullopt;
+    cut_integers_below_range(json);
     return json;
   } catch (const Json::exception&) {
     return std::nullopt;
