Fields that a receiver does not know cost no more than being passed over

Cause: the content of every field was built, also of those that must be ignored, and a report's tasks all before the first was read.

Their texts are checked as before, so the same bodies are refused. A report is read task by task, and what follows the first task that cannot be read is passed over. Submissions and reports use both.

--- a/include/oxbowmill/wire/agent_codec.h
+++ b/include/oxbowmill/wire/agent_codec.h
@@ -12,8 +12,17 @@
 /// Reports are read beyond the protocol's limit, as far as the server receives bodies. An agent with more
 /// tasks than a message can list, placed by an earlier version, would otherwise lose all of them with its
 /// lease.
-constexpr BodyRules report_rules{4 * max_body_size, max_body_size};
+extern const BodyRules report_rules;
 
+/// A report as it was received.
+struct ReceivedReport {
+  std::optional<AgentReport> report;  ///< empty if the body cannot be used
+  std::string error;                  ///< why it cannot be used; empty if it can
+  std::string machine;                ///< name of the machine; empty if the body does not tell it
+};
+
+/// Decodes the body of a report. Passes over the tasks behind the first one that cannot be read.
+ReceivedReport decode_report(const std::string& body);
 /// Decodes an agent's report; empty if a field is missing or malformed. An unknown cause of a task's end is
 /// read as EndCause::error, so that newer agents can report to this version.
 std::optional<AgentReport> read_report(const Json& json);
--- a/include/oxbowmill/wire/cbor.h
+++ b/include/oxbowmill/wire/cbor.h
@@ -4,10 +4,12 @@
 
 #include <cstddef>
 #include <functional>
+#include <initializer_list>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace oxbowmill::wire {
 
@@ -24,6 +26,18 @@
   by_caller,   ///< the caller, with find_invalid_text, so that the other values in the body stay readable
 };
 
+/// Names of the fields that a message can have, at any level.
+class FieldNames {
+ public:
+  /// Keeps copies of the names.
+  FieldNames(std::initializer_list<const char*> names);
+  /// Whether it is one of the names.
+  bool contains(const std::string& name) const;
+
+ private:
+  std::vector<std::vector<std::string>> by_length_;  // a look-up compares few names
+};
+
 /// What is accepted as a body.
 struct BodyRules {
   std::size_t max_size = max_body_size;  ///< in bytes
@@ -34,6 +48,9 @@
   /// Items, at any depth, in an array or map that is a field of the body. One with more items is an empty
   /// byte string in the content.
   std::size_t max_field_items = std::numeric_limits<std::size_t>::max();
+  /// Fields with other names are left out of the content, at any level, since the receiver must ignore them.
+  /// Null: all fields are kept.
+  const FieldNames* known_fields = nullptr;
 };
 /// Levels of maps and arrays that are kept of a body. No message has more than 6 levels.
 constexpr std::size_t max_kept_nesting = 64;
@@ -44,6 +61,7 @@
 struct ListReader {
   std::string field;                              ///< of the map, whose value is the list
   std::function<void(const Json& item)> on_item;  ///< called for each item in turn
+  std::function<bool()> is_done = {};  ///< asked after each item; if true, the others are passed over
 };
 
 /// Content of a received body, or the reason why it cannot be used.
--- a/include/oxbowmill/wire/submission_codec.h
+++ b/include/oxbowmill/wire/submission_codec.h
@@ -14,7 +14,7 @@
 namespace oxbowmill::wire {
 
 /// For submissions. No field has more than the 64 items of a list of machine types.
-constexpr BodyRules submission_rules{max_body_size, max_body_size, TextCheck::whole_body, 256};
+extern const BodyRules submission_rules;
 
 /// Reason for rejecting a submission.
 struct Rejection {
--- a/src/service/report_handler.cpp
+++ b/src/service/report_handler.cpp
@@ -18,13 +18,12 @@
       clock_(std::move(clock)) {}
 
 std::optional<AgentReport> ReportHandler::read(const net::Request& request) {
-  auto body = wire::decode_map(request.body, wire::report_rules);
-  auto report = body ? wire::read_report(*body) : std::nullopt;
-  if (!report) {
-    malformed_messages_.record({"report", sender_in(body, "host", request.peer_host),
-                                body ? "a field is missing or invalid" : body.error()});
+  wire::ReceivedReport received = wire::decode_report(request.body);
+  if (!received.report) {
+    const std::string& sender = received.machine.empty() ? request.peer_host : received.machine;
+    malformed_messages_.record({"report", sender, received.error});
   }
-  return report;
+  return std::move(received.report);
 }
 
 void ReportHandler::on_report(const net::Request& request, ReportOrigin origin) {
--- a/src/wire/agent_codec.cpp
+++ b/src/wire/agent_codec.cpp
@@ -1,5 +1,7 @@
 #include "oxbowmill/wire/agent_codec.h"
 
+#include <limits>
+
 #include "field_reader.h"
 #include "name_table.h"
 #include "shared_names.h"
@@ -46,6 +48,24 @@
 constexpr WireName<CommandKind> command_kinds[] = {
     {"start", CommandKind::start}, {"kill", CommandKind::kill}, {"clear", CommandKind::clear}};
 
+constexpr std::size_t max_report_size = 4 * max_body_size;
+
+const FieldNames report_fields{field::machine,
+                               field::agent_epoch,
+                               field::report_sequence,
+                               field::fencing_token,
+                               field::preemption_notice_s,
+                               field::tasks,
+                               field::task,
+                               field::attempt,
+                               field::cause,
+                               field::checkpoint_saved,
+                               shared::address,
+                               shared::machine_type,
+                               shared::zone,
+                               shared::spot,
+                               shared::phase};
+
 struct TaskId {
   std::string job;
   TaskNumber task = 0;
@@ -94,21 +114,12 @@
   return task;
 }
 
-Json write_commands(const std::vector<AgentCommand>& commands) {
-  Json out = Json::array();
-  for (const AgentCommand& command : commands) {
-    Json json = {{field::command_kind, name_on_wire(command_kinds, command.kind)},
-                 {field::task, write_task_id(command.job, command.task)},
-                 {field::attempt, command.attempt}};
-    if (command.kind == CommandKind::kill) json[field::termination_timeout_s] = command.termination_timeout_s;
-    out.push_back(std::move(json));
-  }
-  return out;
+bool is_text_valid(const Json& task) {
+  return task.is_object() && !find_invalid_text(task);
 }
 
-}  // namespace
-
-std::optional<AgentReport> read_report(const Json& json) {
+/// The report without its tasks.
+std::optional<AgentReport> read_report_fields(const Json& json) {
   FieldReader fields(json);
   AgentReport report;
   report.machine = fields.text(field::machine);
@@ -124,14 +135,59 @@
       fields.has(field::preemption_notice_s) ? fields.amount(field::preemption_notice_s) : -1;
   auto tasks = json.find(field::tasks);
   if (!fields.ok() || tasks == json.end() || !tasks->is_array()) return std::nullopt;
-  for (const Json& task_json : *tasks) {
+  return report;
+}
+
+Json write_commands(const std::vector<AgentCommand>& commands) {
+  Json out = Json::array();
+  for (const AgentCommand& command : commands) {
+    Json json = {{field::command_kind, name_on_wire(command_kinds, command.kind)},
+                 {field::task, write_task_id(command.job, command.task)},
+                 {field::attempt, command.attempt}};
+    if (command.kind == CommandKind::kill) json[field::termination_timeout_s] = command.termination_timeout_s;
+    out.push_back(std::move(json));
+  }
+  return out;
+}
+
+}  // namespace
+
+const BodyRules report_rules{max_report_size, max_body_size, TextCheck::whole_body,
+                             std::numeric_limits<std::size_t>::max(), &report_fields};
+
+std::optional<AgentReport> read_report(const Json& json) {
+  auto report = read_report_fields(json);
+  if (!report) return std::nullopt;
+  for (const Json& task_json : json.at(field::tasks)) {
     auto task = read_task(task_json);
     if (!task) return std::nullopt;
-    report.tasks.push_back(std::move(*task));
+    report->tasks.push_back(std::move(*task));
   }
   return report;
 }
 
+ReceivedReport decode_report(const std::string& body) {
+  std::vector<TaskReport> tasks;
+  bool is_valid = true;
+  ListReader task_reader{field::tasks,
+                         [&](const Json& item) {
+                           auto task = is_text_valid(item) ? read_task(item) : std::nullopt;
+                           is_valid = is_valid && task.has_value();
+                           if (task) tasks.push_back(std::move(*task));
+                         },
+                         [&is_valid] { return !is_valid; }};
+  DecodedMap decoded = decode_map(body, report_rules, &task_reader);
+  if (!decoded) return {std::nullopt, decoded.error(), ""};
+  ReceivedReport received{read_report_fields(*decoded), "", FieldReader(*decoded).text(field::machine)};
+  if (!is_valid) received.report.reset();
+  if (received.report) {
+    received.report->tasks = std::move(tasks);
+  } else {
+    received.error = "a field is missing or invalid";
+  }
+  return received;
+}
+
 Json write_report_answer(const ReportAnswer& answer) {
   if (answer.kind == ReportAnswer::Kind::redirect) return {{field::owner, answer.owner}};
   return {{field::fencing_token, answer.fencing_token}, {field::commands, write_commands(answer.commands)}};
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -11,11 +11,17 @@
 namespace {
 
 /// Receives the parts of a body in their order and builds its content. The items of the list that is read
-/// item by item are built and handled one after another; in the content this list is empty.
+/// item by item are built and handled one after another; in the content this list is empty. Nothing is built
+/// of values that are left out.
 class BodyBuilder {
  public:
   /// `list` is null if no list is read item by item.
-  BodyBuilder(Json& content, const ListReader* list) : content_builder_(content), list_(list) {}
+  BodyBuilder(Json& content, const BodyRules& rules, const ListReader* list)
+      : content_builder_(content), rules_(rules), list_(list) {}
+
+  /// The field of the body with a text that is not UTF-8 in a value that was left out; empty if there is
+  /// none.
+  const std::optional<std::string>& field_with_invalid_text() const { return field_with_invalid_text_; }
 
   bool null() {
     return add_scalar([](Builder& builder) { return builder.null(); });
@@ -33,6 +39,7 @@
     return add_scalar([value, &text](Builder& builder) { return builder.number_float(value, text); });
   }
   bool string(Json::string_t& value) {
+    if (is_left_out()) check_text(value);
     return add_scalar([&value](Builder& builder) { return builder.string(value); });
   }
   bool binary(Json::binary_t& value) {
@@ -40,22 +47,28 @@
   }
   bool key(Json::string_t& name) {
     if (nesting_ == 1) field_ = name;
-    return builder().key(name);
+    if (!is_left_out() && rules_.known_fields != nullptr && !rules_.known_fields->contains(name))
+      left_out_nesting_ = nesting_;
+    if (!is_left_out()) return builder().key(name);
+    check_text(name);
+    return true;
   }
 
   bool start_object(std::size_t size) {
     open();
-    return builder().start_object(size);
+    return is_left_out() || builder().start_object(size);
   }
-  bool end_object() { return builder().end_object() && close(); }
+  bool end_object() { return is_left_out() ? close_left_out() : builder().end_object() && close(); }
   bool start_array(std::size_t size) {
-    bool starts_list = list_ != nullptr && nesting_ == 1 && field_ == list_->field;
+    bool starts_list = list_ != nullptr && nesting_ == 1 && field_ == list_->field && !is_left_out();
     open();
+    if (is_left_out()) return true;
     if (!builder().start_array(size)) return false;
     is_in_list_ = is_in_list_ || starts_list;
     return true;
   }
   bool end_array() {
+    if (is_left_out()) return close_left_out();
     if (nesting_ == list_nesting) is_in_list_ = false;
     return builder().end_array() && close();
   }
@@ -70,34 +83,61 @@
 
   Builder& builder() { return is_in_list_ ? *item_builder_ : content_builder_; }
   bool is_between_items() const { return is_in_list_ && nesting_ == list_nesting; }
+  bool is_left_out() const { return left_out_nesting_ != 0; }
+  void check_text(const std::string& text) {
+    if (!field_with_invalid_text_ && !is_valid_utf8(text)) field_with_invalid_text_ = field_;
+  }
   void start_item() {
+    if (is_list_done_) {
+      left_out_nesting_ = nesting_;
+      return;
+    }
     item_ = Json();
     item_builder_.emplace(item_);
   }
+  void end_item() {
+    list_->on_item(item_);
+    is_list_done_ = list_->is_done && list_->is_done();
+  }
   template <class Add>
   bool add_scalar(const Add& add) {
-    if (is_between_items()) start_item();
+    if (is_between_items() && !is_left_out()) start_item();
+    if (is_left_out()) {
+      end_left_out_value();
+      return true;
+    }
     if (!add(builder())) return false;
-    if (is_between_items()) list_->on_item(item_);
+    if (is_between_items()) end_item();
     return true;
   }
   void open() {
-    if (is_between_items()) start_item();
+    if (is_between_items() && !is_left_out()) start_item();
     ++nesting_;
   }
   bool close() {
     --nesting_;
-    if (is_between_items()) list_->on_item(item_);
+    if (is_between_items()) end_item();
+    return true;
+  }
+  bool close_left_out() {
+    --nesting_;
+    end_left_out_value();
     return true;
   }
+  void end_left_out_value() {
+    if (nesting_ == left_out_nesting_) left_out_nesting_ = 0;
+  }
 
   Builder content_builder_;
   std::optional<Builder> item_builder_;
   Json item_;
   std::string field_;  // of the top level; the last one that began
+  std::optional<std::string> field_with_invalid_text_;
   std::size_t nesting_ = 0;
+  std::size_t left_out_nesting_ = 0;  // of the map or list whose value is left out; 0: none is
+  const BodyRules& rules_;
   const ListReader* list_;
-  bool is_in_list_ = false;
+  bool is_in_list_ = false, is_list_done_ = false;
 };
 
 bool is_valid_text(const Json& json) {
@@ -106,7 +146,8 @@
 
 /// Whether all texts and all names of fields are UTF-8, at any depth.
 bool has_valid_texts(const Json& json) {
-  // A body can be nested too deeply for a recursive function.
+  if (!json.is_structured()) return is_valid_text(json);
+  // A caller may pass content that is nested too deeply for a recursive function.
   std::vector<const Json*> unchecked{&json};
   while (!unchecked.empty()) {
     const Json& next = *unchecked.back();
@@ -121,6 +162,11 @@
   return true;
 }
 
+/// What is wrong with a field that holds a text that is not UTF-8, or whose own name is not.
+std::string invalid_text_in(const std::string& field) {
+  return is_valid_utf8(field) ? field + ": text is not UTF-8" : "the name of a field is not UTF-8";
+}
+
 /// Whether the first item of a body that is not empty is a map.
 bool begins_map(const std::string& body) {
   constexpr unsigned major_type_shift = 5, map_type = 5;
@@ -136,6 +182,19 @@
 
 }  // namespace
 
+FieldNames::FieldNames(std::initializer_list<const char*> names) {
+  for (std::string name : names) {
+    if (by_length_.size() <= name.size()) by_length_.resize(name.size() + 1);
+    by_length_[name.size()].push_back(name);
+  }
+}
+
+bool FieldNames::contains(const std::string& name) const {
+  if (name.size() >= by_length_.size()) return false;
+  const std::vector<std::string>& names = by_length_[name.size()];
+  return std::any_of(names.begin(), names.end(), [&name](const std::string& known) { return known == name; });
+}
+
 DecodedMap DecodedMap::invalid(std::string reason) {
   DecodedMap decoded;
   decoded.error_ = std::move(reason);
@@ -150,7 +209,7 @@
   if (!scanned.error.empty()) return DecodedMap::invalid(std::move(scanned.error));
   if (!begins_map(body)) return DecodedMap::invalid("not a map");
   Json json;
-  BodyBuilder builder(json, list);
+  BodyBuilder builder(json, rules, list);
   // Tags, for example, are well-formed, but the library does not accept them.
   try {
     Json::sax_parse(scanned.trimmed ? *scanned.trimmed : body, &builder, Json::input_format_t::cbor);
@@ -158,6 +217,8 @@
     return DecodedMap::invalid("not CBOR: " + message_of(error));
   }
   if (rules.text_check == TextCheck::whole_body) {
+    if (builder.field_with_invalid_text())
+      return DecodedMap::invalid(invalid_text_in(*builder.field_with_invalid_text()));
     if (auto invalid_text = find_invalid_text(json)) return DecodedMap::invalid(*invalid_text);
   }
   return DecodedMap(std::move(json));
@@ -165,8 +226,7 @@
 
 std::optional<std::string> find_invalid_text(const Json& map) {
   for (const auto& [name, value] : map.items()) {
-    if (!is_valid_utf8(name)) return "the name of a field is not UTF-8";
-    if (!has_valid_texts(value)) return name + ": text is not UTF-8";
+    if (!is_valid_utf8(name) || !has_valid_texts(value)) return invalid_text_in(name);
   }
   return std::nullopt;
 }
--- a/src/wire/submission_codec.cpp
+++ b/src/wire/submission_codec.cpp
@@ -111,8 +111,34 @@
   return std::nullopt;
 }
 
+constexpr std::size_t max_submission_field_items = 256;
+
+const FieldNames submission_fields{field::ref,
+                                   field::job_class,
+                                   field::partition,
+                                   field::image,
+                                   field::shape,
+                                   field::priority,
+                                   field::tasks,
+                                   field::image_gb,
+                                   field::single_zone,
+                                   field::spread_zones,
+                                   field::estimate_s,
+                                   field::flush_s,
+                                   field::deadline_s,
+                                   shared::cpus,
+                                   shared::gpus,
+                                   shared::memory_gb,
+                                   shared::machine_types,
+                                   shared::zone,
+                                   shared::spot,
+                                   field::checkpoint_interval_s};
+
 }  // namespace
 
+const BodyRules submission_rules{max_body_size, max_body_size, TextCheck::whole_body,
+                                 max_submission_field_items, &submission_fields};
+
 std::optional<Rejection> read_submission(const Json& json, const Names& names, Submission& out) {
   FieldReader fields(json);
   SubmittedNames submitted = read_fields(fields, out);
--- a/tests/bench/malformed_bench.cpp
+++ b/tests/bench/malformed_bench.cpp
@@ -39,13 +39,16 @@
 }
 
 /// CBOR: the items in an array of indefinite length.
+std::string array_of_size(const std::string& item, std::size_t size) {
+  return "\x9f" + repeated(item, size - 400) + "\xff";
+}
 std::string array_of(const std::string& item) {
-  return "\x9f" + repeated(item, body_size - 400) + "\xff";
+  return array_of_size(item, body_size);
 }
 /// CBOR: a map of indefinite length with as many different fields as fit.
-std::string map_of_fields() {
+std::string map_of_fields(std::size_t size = body_size - 400) {
   std::string out = "\xbf";
-  for (int i = 0; out.size() < body_size - 400; ++i)
+  for (int i = 0; out.size() < size; ++i)
     out += std::string("\x63") + static_cast<char>('!' + i % 64) + static_cast<char>('!' + i / 64 % 64) +
            static_cast<char>('!' + i / 4096) + "\x01";
   return out + "\xff";
@@ -65,6 +68,38 @@
   return wire::encode(submission);
 }
 
+/// A submission of `shards` tasks with as many unknown fields as fit, each of which is a number.
+std::string submission_with_small_fields(const Json& shards) {
+  Json submission = sound_submission();
+  submission["shards"] = shards;
+  for (int i = 0; i < 7100; ++i) submission["f" + std::to_string(100'000 + i)] = 1;
+  return wire::encode(submission);
+}
+
+/// A report of a machine whose list of tasks is the item.
+std::string report_with_tasks(const std::string& item) {
+  const std::string placeholder = "placeholder";
+  std::string body = wire::encode({{"host", "host-1"},
+                                   {"address", "127.0.0.1:9000"},
+                                   {"rig", "std"},
+                                   {"yard", "a"},
+                                   {"loaners", true},
+                                   {"tenure", 1},
+                                   {"serial", 88},
+                                   {"warrant", 41},
+                                   {"recall_s", nullptr},
+                                   {"shards", placeholder}});
+  std::string encoded = wire::encode(placeholder);
+  return body.replace(body.find(encoded), encoded.size(), item);
+}
+/// A list of as many sound tasks as fit into this many bytes.
+std::string sound_tasks(std::size_t size) {
+  std::string out = "\x9f";
+  for (int i = 0; out.size() + 100 < size; ++i)
+    out += wire::encode({{"shard", "run-000001/" + std::to_string(i)}, {"try", 1000}, {"phase", "running"}});
+  return out + "\xff";
+}
+
 struct BenchmarkCase {
   std::string name, body;
 };
@@ -83,7 +118,9 @@
        submission_with("unknown", nested_item(nesting_kinds()[0], body_size - 400, true))},
       {"sound/padded by a text of parts", submission_with("unknown", text_of_parts())},
       {"sound/padded by many fields", submission_with_unknown_fields(2)},
+      {"sound/padded by small fields", submission_with_small_fields(2)},
       {"malformed/many fields", submission_with_unknown_fields("two")},
+      {"malformed/small fields", submission_with_small_fields("two")},
       {"malformed/empty", ""},
       {"malformed/not a map", numbers},
       {"malformed/a line of text", std::string(body_size, 'x')},
@@ -118,6 +155,29 @@
   return cases;
 }
 
+std::vector<BenchmarkCase> report_cases() {
+  constexpr std::size_t four_tasks_size = 280;
+  std::vector<BenchmarkCase> cases = {
+      {"report/four sound tasks", report_with_tasks(sound_tasks(four_tasks_size))}};
+  for (std::size_t size : {body_size, 4 * body_size}) {
+    const std::string kib = ", " + std::to_string(size / 1024) + " KiB";
+    const std::string small_fields =
+        array_of_size(wire::encode({{"shard", "r/1"}, {"try", 1}, {"x", 1}}), size);
+    cases.push_back({"report/sound tasks" + kib, report_with_tasks(sound_tasks(size))});
+    cases.push_back({"report/tasks are empty arrays" + kib, report_with_tasks(array_of_size("\x80", size))});
+    cases.push_back({"report/tasks are numbers" + kib, report_with_tasks(array_of_size("\x01", size))});
+    cases.push_back({"report/tasks lack a field" + kib, report_with_tasks(small_fields)});
+    cases.push_back({"report/unknown fields of a task" + kib,
+                     report_with_tasks("\x9f" + map_of_fields(size - 400) + "\xff")});
+  }
+  return cases;
+}
+
+/// Decodes the body as the controller does.
+void decode_report(benchmark::State& state, const std::string& body) {
+  for (auto _ : state) benchmark::DoNotOptimize(wire::decode_report(body));
+}
+
 /// Decodes the body and answers as the controller does before it writes anything.
 std::string answer(const std::string& body, Names& names, const Settings& settings,
                    const std::vector<MachineType>& catalog) {
@@ -143,5 +203,9 @@
     benchmark::RegisterBenchmark(benchmark_case.name.c_str(), answer_body, benchmark_case.body)
         ->Unit(benchmark::kMicrosecond);
   }
+  for (const BenchmarkCase& benchmark_case : report_cases()) {
+    benchmark::RegisterBenchmark(benchmark_case.name.c_str(), decode_report, benchmark_case.body)
+        ->Unit(benchmark::kMicrosecond);
+  }
   benchmark::RunSpecifiedBenchmarks();
 }
--- a/tests/random_bodies_test.cpp
+++ b/tests/random_bodies_test.cpp
@@ -112,6 +112,23 @@
   EXPECT_GT(readable, body_count(60'000) / 20);
 }
 
+// Guards against a report that is read in another way task by task than as a whole.
+TEST(RandomBodies, ReportIsReadAsFromTheWholeContent) {
+  BodyGenerator bodies = generator(6);
+  for (std::size_t i = 0; i < body_count(30'000) && !HasFailure(); ++i) {
+    std::string body = bodies.next();
+    SCOPED_TRACE("body " + std::to_string(i) + ": " + as_hex(body));
+    auto decoded = wire::decode_map(body);
+    auto expected = decoded ? wire::read_report(*decoded) : std::nullopt;
+    auto received = wire::decode_report(body);
+    ASSERT_EQ(received.report.has_value(), expected.has_value()) << received.error;
+    if (expected) {
+      EXPECT_EQ(received.report->machine, expected->machine);
+      EXPECT_EQ(received.report->tasks.size(), expected->tasks.size());
+    }
+  }
+}
+
 /// Does everything that a controller does to a body, whoever sent it.
 void handle(const std::string& body, Names& names, ClusterState& cluster) {
   market::Call call;
