--- a/src/wire/cbor_scanner.h
+++ b/src/wire/cbor_scanner.h
@@ -18,9 +18,9 @@
 /// Result of a scan.
 struct ScannedBody {
   std::string error;  ///< why the body is refused; empty if it is not
-  /// The body with an empty byte string, which no field of a message may hold, for each item that was cut out;
-  /// empty if there is none. Besides the maps and arrays beyond the limits, these are integers below -2^63,
-  /// which the decoder would read as other numbers.
+  /// The body with an empty byte string, which no field of a message may hold, for each item that was cut
+  /// out; empty if there is none. Besides the maps and arrays beyond the limits, these are integers below
+  /// -2^63, which the decoder would read as other numbers.
   std::optional<std::string> trimmed;
 };
 
